--- /dev/null
+++ b/cmd/lagoonlane/cgo.go
@@ -0,0 +1,5 @@
+package main
+
+// The users' platform needs programs that are linked against the C library.
+
+import "C"
--- a/cmd/lagoonlane/main.go
+++ b/cmd/lagoonlane/main.go
@@ -16,6 +16,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/lagoonlane/lagoonlane/internal/settings"
+	"github.com/lagoonlane/lagoonlane/platform"
 )
 
 // Exit codes.
@@ -61,7 +62,8 @@
 	var syntax *settings.SyntaxError
 	var key *settings.UnknownKeyError
 	var value *settings.ValueError
-	return errors.As(err, &file) || errors.As(err, &syntax) || errors.As(err, &key) || errors.As(err, &value)
+	var node *platform.SettingsError
+	return errors.As(err, &node) || errors.As(err, &file) || errors.As(err, &syntax) || errors.As(err, &key) || errors.As(err, &value)
 }
 
 func newRootCommand(stdout, stderr io.Writer) *ffcli.Command {
@@ -69,11 +71,13 @@
 	root.SetOutput(stderr)
 	return &ffcli.Command{
 		Name:       "lagoonlane",
-		ShortUsage: "lagoonlane <entry|sidecar> --config FILE [--check]",
+		ShortUsage: "lagoonlane <entry|sidecar> --config FILE [--check] | lagoonlane <platform-entry|platform-sidecar> [--check]",
 		FlagSet:    root,
 		Subcommands: []*ffcli.Command{
 			newRoleCommand("entry", "serve callers and operators", stdout, stderr, checkEntry, runEntry),
 			newRoleCommand("sidecar", "stand beside backend servers", stdout, stderr, checkSidecar, runSidecar),
+			newPlatformCommand("platform-entry", "serve callers on the users' platform", stdout, stderr, runPlatformEntry),
+			newPlatformCommand("platform-sidecar", "hand out an engine's slots on the users' platform", stdout, stderr, runPlatformSidecar),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
@@ -105,3 +109,28 @@
 		},
 	}
 }
+
+// newPlatformCommand returns the command of a role on the users' platform, which
+// names the settings file by an environment variable.
+func newPlatformCommand(name, help string, stdout, stderr io.Writer, serve func(ctx context.Context, metricsPort int) error) *ffcli.Command {
+	flags := flag.NewFlagSet("lagoonlane "+name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	metricsPort := flags.Int("metrics-port", 0, "port of the metrics page; 0: the second internal port")
+	onlyCheck := flags.Bool("check", false, "check the settings file and exit")
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "lagoonlane " + name + " [--metrics-port PORT] [--check]",
+		ShortHelp:  help,
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			if !*onlyCheck {
+				return serve(ctx, *metricsPort)
+			}
+			if _, err := platform.LoadSettings(); err != nil {
+				return err
+			}
+			fmt.Fprintln(stdout, "settings are good")
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/lagoonlane/onplatform.go
@@ -0,0 +1,325 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/gateway"
+	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/roster"
+	"github.com/lagoonlane/lagoonlane/internal/slots"
+	"github.com/lagoonlane/lagoonlane/internal/telemetry"
+	"github.com/lagoonlane/lagoonlane/internal/transport"
+	"github.com/lagoonlane/lagoonlane/internal/upstream"
+	"github.com/lagoonlane/lagoonlane/platform"
+)
+
+const (
+	// memoryPart is the part of the machine's memory that the garbage collector keeps to.
+	memoryPart = 0.6
+	// configurationWait and serversWait are how long one read of the store waits for
+	// news: short against the bounds on key removal and on draining, which count from the
+	// start of the read that missed the news.
+	configurationWait = time.Second
+	serversWait       = 1500 * time.Millisecond
+	// membersWait is the same for the list of entries, which tell each other of changes.
+	membersWait = 20 * time.Second
+	// leaveAfter is how long an entry that was told to stop still takes new connections:
+	// the balancer needs two looks, a second apart, to find that it isn't ready.
+	leaveAfter = 2500 * time.Millisecond
+	// exitMargin is left between the end of the last request and the kill.
+	exitMargin = 500 * time.Millisecond
+	// registerRetry is the time between two tries to register this entry.
+	registerRetry = time.Second
+	// callerIdleTimeout is longer than callers keep an idle connection by any manifest.
+	callerIdleTimeout = 2 * time.Minute
+	// callerHeaderTimeout bounds the time that a caller takes to send its headers.
+	callerHeaderTimeout = 10 * time.Second
+	// maxCallerHeaderBytes is far above what manifests allow, so that the gateway
+	// itself refuses a large header.
+	maxCallerHeaderBytes = 256 << 10
+)
+
+// node is what both roles on the users' platform have in common.
+type node struct {
+	settings platform.Settings
+	logger   zerolog.Logger
+	logs     io.Closer
+	metrics  *telemetry.Metrics
+	internal *http.ServeMux
+	// servers are closed when the process ends.
+	servers []*http.Server
+}
+
+func newNode(role string, metricsPort int) (*node, error) {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return nil, err
+	}
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	droppedLines, err := metrics.Meter.Int64Counter("lagoonlane_log_lines_dropped")
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	out := telemetry.NewLossyWriter(os.Stdout, func(lines int) { droppedLines.Add(context.Background(), int64(lines)) })
+	logger, err := telemetry.NewLogger(out, zerolog.InfoLevel.String(), role, settings.ID)
+	if err != nil {
+		return nil, err
+	}
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
+	}
+	if metricsPort > 0 {
+		settings.Metrics = net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort))
+	}
+	return &node{settings: settings, logger: logger, logs: out, metrics: metrics, internal: http.NewServeMux()}, nil
+}
+
+// listen serves a handler on an address until the node ends.
+func (n *node) listen(group *errgroup.Group, server *http.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.WithStack(&ListenError{Address: address, Cause: err})
+	}
+	n.servers = append(n.servers, server)
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.WithStack(err)
+		}
+		return nil
+	})
+	return nil
+}
+
+// listenInternal serves other processes and the metrics page.
+func (n *node) listenInternal(group *errgroup.Group) error {
+	if err := n.listen(group, transport.NewInternalServer(n.internal), n.settings.Internal); err != nil {
+		return err
+	}
+	page := http.NewServeMux()
+	page.Handle("GET /metrics", n.metrics.Handler)
+	return n.listen(group, transport.NewInternalServer(page), n.settings.Metrics)
+}
+
+// run serves until ctx is done, then lets leave end what is running.
+func (n *node) run(ctx context.Context, group *errgroup.Group, groupCtx context.Context, stop context.CancelFunc, work []runFunc, leave func(context.Context)) error {
+	for _, run := range work {
+		group.Go(func() error { return untilDone(groupCtx, run) })
+	}
+	n.logger.Info().Str("internal", n.settings.Internal).Str("front", n.settings.Front).Str("outcome", "started").Msg("process")
+	n.watchSettings(ctx)
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.ShutdownGrace-exitMargin)
+	defer cancel()
+	n.logger.Info().Str("outcome", "stopping").Msg("process")
+	leave(bounded)
+	for _, server := range n.servers {
+		if err := server.Close(); err != nil {
+			n.logger.Warn().Err(err).Msg("a listener could not be closed")
+		}
+	}
+	stop()
+	err := group.Wait()
+	n.logger.Info().Str("outcome", "stopped").Msg("process")
+	return errors.WithMessage(firstError(err, n.logs.Close()), "platform role")
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// watchSettings reads the settings file again on SIGHUP, until ctx is done. What a
+// process is bound to (addresses, store) holds until its next start.
+func (n *node) watchSettings(ctx context.Context) {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			if _, err := platform.LoadSettings(); err != nil {
+				n.logger.Error().Err(err).Str("outcome", "settings kept").Msg("reload")
+				continue
+			}
+			n.logger.Info().Str("outcome", "settings read").Msg("reload")
+		}
+	}
+}
+
+// runPlatformSidecar hands out the slots of the engine on the same machine.
+func runPlatformSidecar(ctx context.Context, metricsPort int) error {
+	n, err := newNode("sidecar", metricsPort)
+	if err != nil {
+		return err
+	}
+	server := slots.NewServer(slots.ServerOptions{
+		Queue:  admission.NewSlotQueue(admission.SlotOptions{LateHold: 1}),
+		Probe:  platform.NewEngineProbe(n.settings.Engine),
+		Logger: n.logger,
+	})
+	n.internal.Handle("POST "+slots.Path, server)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(background)
+	if err := n.listenInternal(group); err != nil {
+		return err
+	}
+	return n.run(ctx, group, groupCtx, stop, []runFunc{server.Run}, func(bounded context.Context) {
+		if err := server.Drain(bounded); err != nil {
+			n.logger.Warn().Err(err).Msg("requests for slots were still waiting")
+		}
+	})
+}
+
+// entryNode is an entry on the users' platform.
+type entryNode struct {
+	*node
+	store         *platform.Store
+	configuration *platform.ConfigurationSource
+	directory     *fleet.Directory
+	servers       *platform.ServerSource
+	roster        *roster.Roster
+	gateway       *gateway.Gateway
+	upstream      *upstream.Client
+	public        *http.Server
+}
+
+func newEntryNode(metricsPort int) (*entryNode, error) {
+	n, err := newNode("entry", metricsPort)
+	if err != nil {
+		return nil, err
+	}
+	e := &entryNode{node: n, store: platform.NewStore(n.settings.StoreURL), directory: fleet.NewDirectory()}
+	holder := &fleet.Holder{}
+	e.configuration = platform.NewConfigurationSource(holder, n.logger)
+	codec := platform.Codec{}
+	e.upstream = upstream.New(upstream.Options{
+		IDOf: func(h http.Header) string { return codec.DecodeAnswer(h).RequestID },
+	})
+	e.servers = platform.NewServerSource(e.directory, n.logger)
+	e.servers.Gone = e.upstream.Forget
+	peers := transport.NewClient("", nil)
+	pool := limit.NewPool()
+	e.roster = roster.New(roster.Options{
+		ID: n.settings.ID, Address: n.settings.Internal, Boot: rand.Text(), Client: peers, Pool: pool,
+		Configuration: e.configuration.Configuration,
+		Offer:         func(raw []byte) { e.configuration.Offer(raw, "peer") },
+		Confirm:       e.configuration.Confirm,
+		Logger:        n.logger,
+	})
+	bounds := n.settings.Bounds
+	e.gateway, err = gateway.New(gateway.Options{
+		DataCentre: n.settings.DataCentre, Codec: codec, Manifest: holder, Directory: e.directory,
+		Upstream: e.upstream, Slots: slots.NewClient(peers),
+		SlotAddress: gateway.SlotAddress(strconv.Itoa(n.settings.InternalPort)),
+		Entries:     e.roster.Entries, Limits: pool,
+		Bounds: gateway.Bounds{
+			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
+			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
+		},
+		Logger: n.logger, Meter: n.metrics.Meter,
+	})
+	return e, err
+}
+
+// runPlatformEntry serves the platform's callers.
+func runPlatformEntry(ctx context.Context, metricsPort int) error {
+	e, err := newEntryNode(metricsPort)
+	if err != nil {
+		return err
+	}
+	e.roster.Register(e.internal)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(background)
+	if err := e.listenInternal(group); err != nil {
+		return err
+	}
+	if err := e.listen(group, &http.Server{Handler: e.readiness(), ReadHeaderTimeout: callerHeaderTimeout}, e.settings.Ready); err != nil {
+		return err
+	}
+	e.public = &http.Server{
+		Handler: e.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
+	}
+	if err := e.listen(group, e.public, e.settings.Front); err != nil {
+		return err
+	}
+	follow := func(topic string, listener platform.Listener, wait time.Duration) runFunc {
+		return (&platform.Follower{Store: e.store, Topic: topic, Listener: listener, Logger: e.logger, Wait: wait}).Run
+	}
+	return e.run(ctx, group, groupCtx, stop, []runFunc{
+		follow(platform.TopicOperator, e.configuration, configurationWait),
+		follow(platform.TopicServers, e.servers, serversWait),
+		follow(platform.TopicEntries, &platform.MemberSource{Roster: e.roster, Logger: e.logger}, membersWait),
+		e.register, e.roster.Run, e.gateway.Run, e.upstream.Run,
+	}, e.leave)
+}
+
+// readiness answers the platform's balancer.
+func (e *entryNode) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !e.gateway.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// register tells the other entries of this one, through the store.
+func (e *entryNode) register(ctx context.Context) error {
+	member := platform.Member{ID: e.settings.ID, Address: e.settings.Internal}
+	value, err := platform.EncodeMember(member)
+	if err != nil {
+		return err
+	}
+	for {
+		_, err := e.store.Put(ctx, platform.TopicEntries, member.ID, value, nil)
+		if err == nil {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		e.logger.Warn().Err(err).Str("outcome", "not registered").Msg("entry")
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(registerRetry):
+		}
+	}
+}
+
+// leave takes the entry out of the balancer, then ends connections as their requests end.
+func (e *entryNode) leave(bounded context.Context) {
+	e.gateway.Leave()
+	select {
+	case <-time.After(leaveAfter):
+	case <-bounded.Done():
+	}
+	if err := e.public.Shutdown(bounded); err != nil {
+		e.logger.Warn().Err(err).Msg("requests were still running at the end of the grace time")
+	}
+}
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -31,11 +31,16 @@
 	// Rank is the tier's rank; 0 is the highest tier.
 	Rank uint32
 	// Deadline is when the caller stops waiting for the answer.
-	Deadline     time.Time
-	Route        string
-	Version      string
-	PromptTokens uint32
-	OutputTokens uint32
+	Deadline time.Time
+	// Objective is when the first token should be there; zero: no objective. Only a
+	// SlotQueue goes by it.
+	Objective time.Time
+	// ObjectiveSpan is the time that the objective allowed in all.
+	ObjectiveSpan time.Duration
+	Route         string
+	Version       string
+	PromptTokens  uint32
+	OutputTokens  uint32
 	// Prefixes are hashes of the prompt's leading blocks, shortest prefix first.
 	Prefixes []uint64
 }
--- /dev/null
+++ b/internal/fleet/directory.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// RegistrationGrace is how long after a store outage the entry of a live
+	// backend server may be missing (registration times of the platform).
+	RegistrationGrace = 2 * time.Second
+	// massLapsePart is the part of a service's servers that, vanishing within one
+	// batch, means that registrations lapsed rather than that servers left.
+	massLapsePart = 0.5
+)
+
+// Directory holds the registered backend servers. It is safe for concurrent use.
+type Directory struct {
+	mu      sync.RWMutex
+	servers map[string]Server
+	// missing holds when the entry of a server that is kept for now vanished.
+	missing map[string]time.Time
+	// recovered is when the store answered again after its last outage.
+	recovered time.Time
+	away      bool
+	loaded    bool
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{servers: map[string]Server{}, missing: map[string]time.Time{}}
+}
+
+// Put registers a server or changes its entry.
+func (d *Directory) Put(s Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.servers[s.ID] = s
+	delete(d.missing, s.ID)
+}
+
+// Remove takes the entries of servers out. Those that vanish around an outage of the
+// store are kept until RegistrationGrace after its end, as their registrations may
+// only have lapsed.
+func (d *Directory) Remove(ids []string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	lapsed := d.away || now.Sub(d.recovered) < RegistrationGrace || d.massLapse(ids)
+	for _, id := range ids {
+		if _, known := d.servers[id]; !known {
+			continue
+		}
+		if lapsed {
+			d.missing[id] = now
+			continue
+		}
+		delete(d.servers, id)
+	}
+}
+
+func (d *Directory) massLapse(ids []string) bool {
+	total, gone := map[string]int{}, map[string]int{}
+	for _, s := range d.servers {
+		total[s.Service]++
+	}
+	for _, id := range ids {
+		if s, known := d.servers[id]; known && s.State == StateReady {
+			gone[s.Service]++
+		}
+	}
+	for service, n := range gone {
+		if n > 1 && float64(n) > massLapsePart*float64(total[service]) {
+			return true
+		}
+	}
+	return false
+}
+
+// StoreLost says that the store doesn't answer.
+func (d *Directory) StoreLost() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.away = true
+}
+
+// StoreAnswered says that the store has answered a read of the whole list or of
+// what changed since the last one.
+func (d *Directory) StoreAnswered(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.away {
+		d.recovered = now
+	}
+	d.away, d.loaded = false, true
+	for id, since := range d.missing {
+		if now.Sub(since) > RegistrationGrace && now.Sub(d.recovered) > RegistrationGrace {
+			delete(d.servers, id)
+			delete(d.missing, id)
+		}
+	}
+}
+
+// Loaded reports whether the list was read at least once.
+func (d *Directory) Loaded() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.loaded
+}
+
+// Get returns a registered server.
+func (d *Directory) Get(id string) (Server, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	s, ok := d.servers[id]
+	return s, ok
+}
+
+// Usable reports whether an incarnation is registered and not draining.
+func (d *Directory) Usable(id string) bool {
+	s, ok := d.Get(id)
+	return ok && s.State == StateReady
+}
+
+// Ready returns the servers of a service that take new requests.
+func (d *Directory) Ready(service string) []Server {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var list []Server
+	for _, s := range d.servers {
+		if s.Service == service && s.State == StateReady {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// IDs returns the ids of all registered servers.
+func (d *Directory) IDs() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	ids := make([]string, 0, len(d.servers))
+	for id := range d.servers {
+		ids = append(ids, id)
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/gateway/budget.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// budgetSlots is the number of parts in which the retry window is counted.
+	budgetSlots = 10
+	// budgetPart is the part of the deployment's bound that is used: entries don't know
+	// each other's requests of this moment.
+	budgetPart = 0.7
+)
+
+// RetryBounds bound the repeated sends to a service over all entries.
+type RetryBounds struct {
+	// Ratio is the number of repeats for each request.
+	Ratio float64
+	// Window is the time over which they are counted.
+	Window time.Duration
+	// Slack is the number of repeats that are allowed in any window besides.
+	Slack float64
+}
+
+// retryBudget counts the requests and repeats of each service at this entry, and
+// keeps to this entry's part of the bounds. It is safe for concurrent use.
+type retryBudget struct {
+	bounds RetryBounds
+
+	mu       sync.Mutex
+	services map[string]*retryWindow
+}
+
+// retryWindow holds the counts of the last window in a ring.
+type retryWindow struct {
+	slot     int64
+	requests [budgetSlots]float64
+	repeats  [budgetSlots]float64
+}
+
+func newRetryBudget(bounds RetryBounds) *retryBudget {
+	return &retryBudget{bounds: bounds, services: map[string]*retryWindow{}}
+}
+
+// first counts the first send of a request.
+func (b *retryBudget) first(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	w.requests[w.slot%budgetSlots]++
+}
+
+// take uses one repeat and reports whether there was one. Entries is the number of
+// entries that share the slack.
+func (b *retryBudget) take(service string, entries int, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	requests, repeats := 0.0, 0.0
+	for i := range budgetSlots {
+		requests += w.requests[i]
+		repeats += w.repeats[i]
+	}
+	allowed := budgetPart * (b.bounds.Ratio*requests + b.bounds.Slack/float64(max(entries, 1)))
+	if repeats+1 > allowed {
+		return false
+	}
+	w.repeats[w.slot%budgetSlots]++
+	return true
+}
+
+func (b *retryBudget) window(service string, now time.Time) *retryWindow {
+	w := b.services[service]
+	length := max(b.bounds.Window/budgetSlots, time.Millisecond)
+	slot := now.UnixNano() / int64(length)
+	if w == nil {
+		w = &retryWindow{slot: slot}
+		b.services[service] = w
+	}
+	for w.slot < slot {
+		w.slot++
+		w.requests[w.slot%budgetSlots], w.repeats[w.slot%budgetSlots] = 0, 0
+		if slot-w.slot > budgetSlots {
+			w.slot = slot - budgetSlots
+		}
+	}
+	return w
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/steady"
+)
+
+const (
+	// staleRetryAfter is told to callers whom a process can't serve because it has lost
+	// the store: another process answers at once.
+	staleRetryAfter = 100 * time.Millisecond
+)
+
+// call is one request of a caller on its way.
+type call struct {
+	info    RequestInfo
+	method  string
+	target  string
+	host    string
+	header  http.Header
+	body    []byte
+	arrived time.Time
+	// deadline is when the request must have its final answer (steady clock): the
+	// caller's or the route's, whichever comes first.
+	deadline time.Time
+
+	manifest *fleet.Manifest
+	// manifestAge is how long ago the manifest was known to be the newest one.
+	manifestAge time.Duration
+	route       *fleet.Route
+	service     string
+	engine      *fleet.Engine
+	account     *fleet.Account
+}
+
+// rank returns the tier of the request: the account's takes precedence.
+func (c *call) rank() int {
+	if c.account != nil && c.account.HasRank {
+		return c.account.Rank
+	}
+	return c.route.Rank
+}
+
+// tokens returns what the request counts for against its account's limit.
+func (c *call) tokens() float64 {
+	if c.info.HasTokens {
+		return float64(c.info.PromptTokens + c.info.MaxOutputTokens)
+	}
+	return float64(c.account.DefaultTokens)
+}
+
+// outputTokens returns the expected number of output tokens.
+func (c *call) outputTokens() int {
+	if c.info.OutputHint > 0 {
+		return c.info.OutputHint
+	}
+	return c.info.MaxOutputTokens
+}
+
+func (c *call) accountName() string {
+	if c.account == nil {
+		return ""
+	}
+	return c.account.Name
+}
+
+func (c *call) stream() bool { return c.route.Kind == fleet.KindStreaming }
+
+// objectiveLeft returns the time until the answer, or its first event, should come.
+func (c *call) objectiveLeft() time.Duration {
+	return c.route.Objective - steady.Since(c.arrived)
+}
+
+// accept checks a request and reads its body. The call it returns is never nil.
+func (g *Gateway) accept(w http.ResponseWriter, r *http.Request) (*call, *Failure) {
+	one := &call{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, arrived: steady.Now()}
+	if len(one.target) == 0 || one.target[0] != '/' {
+		one.target = r.URL.RequestURI()
+	}
+	var err error
+	if one.info, err = g.options.Codec.DecodeRequest(r.Header); err != nil {
+		return one, refusal(KindMalformed, http.StatusBadRequest, err.Error())
+	}
+	manifest, confirmed := g.options.Manifest.Current()
+	if manifest == nil {
+		return one, unavailable(KindNotReady, staleRetryAfter, "no configuration yet")
+	}
+	one.manifest, one.manifestAge = manifest, one.arrived.Sub(confirmed)
+	if failure := g.resolve(one, r); failure != nil {
+		return one, failure
+	}
+	if most := manifest.Limits.MaxHeaderBytes; most > 0 && headerBytes(r.Header) > most {
+		return one, refusal(KindTooLarge, http.StatusRequestHeaderFieldsTooLarge, "the headers are too large")
+	}
+	one.deadline = one.arrived.Add(one.route.Timeout)
+	if patience := one.info.Patience; one.info.HasPatience && patience < one.route.Timeout {
+		one.deadline = one.arrived.Add(patience)
+	}
+	body, failure := readBody(w, r, manifest.Limits.MaxBodyBytes)
+	one.body = body
+	return one, failure
+}
+
+// resolve finds route, account and service. Where the manifest may be out of date, a
+// caller is sent elsewhere rather than told that its route or key doesn't exist.
+func (g *Gateway) resolve(one *call, r *http.Request) *Failure {
+	stale := one.manifestAge > g.options.Bounds.ApplyWithin
+	one.route = one.manifest.Match(r.Host, r.URL.EscapedPath())
+	if one.route == nil && stale {
+		return unavailable(KindNotReady, staleRetryAfter, "the configuration may be out of date")
+	}
+	if one.route == nil {
+		return refusal(KindNoRoute, http.StatusNotFound, "no route for this host and path")
+	}
+	if one.manifest.HasAccounts && !one.route.Anonymous {
+		one.account = one.manifest.Account(one.info.Key)
+		switch {
+		case one.manifestAge > g.options.Bounds.RevokeWithin:
+			return unavailable(KindNotReady, staleRetryAfter, "keys can't be checked: the configuration is out of date")
+		case one.account == nil && stale:
+			return unavailable(KindNotReady, staleRetryAfter, "the configuration may be out of date")
+		case one.account == nil:
+			return refusal(KindUnauthorized, http.StatusUnauthorized, "the API key is missing or unknown")
+		}
+	}
+	one.service = g.pickShare(one.route)
+	one.engine = one.manifest.Services[one.service].Engine
+	return nil
+}
+
+// pickShare draws the service of a request by the shares of its route.
+func (g *Gateway) pickShare(route *fleet.Route) string {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Service
+	}
+	total := 0.0
+	for _, share := range route.Shares {
+		total += max(share.Weight, 0)
+	}
+	drawn := g.random() * total
+	for _, share := range route.Shares {
+		if drawn -= max(share.Weight, 0); drawn < 0 {
+			return share.Service
+		}
+	}
+	return route.Shares[0].Service
+}
+
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, value := range values {
+			// ": " and the end of the line count too.
+			n += len(name) + len(value) + 4
+		}
+	}
+	return n
+}
+
+// readBody reads a whole body of at most limit bytes; 0 is unlimited.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *Failure) {
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil, nil
+	}
+	tooLarge := refusal(KindTooLarge, http.StatusRequestEntityTooLarge, "the body is too large")
+	if limit > 0 && r.ContentLength > limit {
+		return nil, tooLarge
+	}
+	var reader io.Reader = r.Body
+	if limit > 0 {
+		reader = http.MaxBytesReader(w, r.Body, limit)
+	}
+	var body []byte
+	var err error
+	if r.ContentLength > 0 {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(reader, body)
+	} else {
+		body, err = io.ReadAll(reader)
+	}
+	var over *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &over):
+		return nil, tooLarge
+	case r.Context().Err() != nil:
+		return nil, refusal(KindCallerLeft, http.StatusBadRequest, "the caller left while it sent the body")
+	}
+	return nil, refusal(KindMalformed, http.StatusBadRequest, "the body could not be read: "+err.Error())
+}
+
+// context returns the context of a call: it ends when the caller leaves or at the deadline.
+func (c *call) context(parent context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeoutCause(parent, steady.Until(c.deadline), errDeadline)
+}
+
+// DeadlineError says that a request had no answer at its deadline.
+type DeadlineError struct{}
+
+func (*DeadlineError) Error() string { return "no answer at the deadline" }
+
+var errDeadline = &DeadlineError{}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+)
+
+// latencyBounds are the bounds of the latency histograms in seconds: from a fast
+// answer of a plain service to the longest route timeout.
+var latencyBounds = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1, 1.5, 2, 4, 8, 15}
+
+// metrics are the instruments of a gateway.
+type metrics struct {
+	requests   metric.Int64Counter
+	sends      metric.Int64Counter
+	firstEvent metric.Float64Histogram
+	waited     metric.Float64Histogram
+	whole      metric.Float64Histogram
+}
+
+func newMetrics(meter metric.Meter) (*metrics, error) {
+	if meter == nil {
+		meter = noop.Meter{}
+	}
+	m := &metrics{}
+	var err error
+	if m.requests, err = meter.Int64Counter("lagoonlane_gateway_requests", metric.WithDescription("requests by outcome and status")); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if m.sends, err = meter.Int64Counter("lagoonlane_gateway_sends", metric.WithDescription("sends to backend servers by verdict")); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	for name, target := range map[string]*metric.Float64Histogram{
+		"lagoonlane_gateway_first_event": &m.firstEvent,
+		"lagoonlane_gateway_slot_wait":   &m.waited,
+		"lagoonlane_gateway_duration":    &m.whole,
+	} {
+		if *target, err = meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(latencyBounds...)); err != nil {
+			return nil, errors.WithStack(err)
+		}
+	}
+	return m, nil
+}
+
+func (m *metrics) concluded(one *call, p *progress, failure *Failure, took time.Duration) {
+	ctx := context.Background()
+	outcome, status := "answered", p.status
+	if failure != nil {
+		outcome, status = string(failure.Kind), failure.Status
+	}
+	service := attribute.String("service", one.service)
+	m.requests.Add(ctx, 1, metric.WithAttributes(service, attribute.String("outcome", outcome), attribute.String("status", strconv.Itoa(status))))
+	m.whole.Record(ctx, took.Seconds(), metric.WithAttributes(service))
+	if p.firstEvent > 0 {
+		m.firstEvent.Record(ctx, p.firstEvent.Seconds(), metric.WithAttributes(service))
+	}
+	if one.engine != nil {
+		m.waited.Record(ctx, p.waited.Seconds(), metric.WithAttributes(service))
+	}
+}
+
+func (m *metrics) sent(one *call, v verdict) {
+	m.sends.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", one.service), attribute.String("verdict", v.String())))
+}
--- /dev/null
+++ b/internal/gateway/outcome.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Kind names why a request has no answer of a backend server.
+type Kind string
+
+// Kinds of failure.
+const (
+	KindNotReady     Kind = "not-ready"
+	KindMalformed    Kind = "malformed"
+	KindNoRoute      Kind = "no-route"
+	KindUnauthorized Kind = "unauthorized"
+	KindTooLarge     Kind = "too-large"
+	KindLimit        Kind = "limit"
+	KindNoServer     Kind = "no-server"
+	KindNoSlot       Kind = "no-slot"
+	KindRejected     Kind = "rejected"
+	KindFailed       Kind = "failed"
+	KindTimeout      Kind = "timeout"
+	KindCallerLeft   Kind = "caller-left"
+)
+
+// Failure is the final answer to a request that gets none of a backend server.
+type Failure struct {
+	Kind   Kind
+	Status int
+	// RetryAfter is when the caller should come back; 0: not told.
+	RetryAfter time.Duration
+	Detail     string
+}
+
+func (f *Failure) Error() string { return fmt.Sprintf("%s: %s", f.Kind, f.Detail) }
+
+// Ran reports whether the request may have run.
+func (f *Failure) Ran() bool {
+	return f.Status == http.StatusBadGateway || f.Status == http.StatusGatewayTimeout
+}
+
+func refusal(kind Kind, status int, detail string) *Failure {
+	return &Failure{Kind: kind, Status: status, Detail: detail}
+}
+
+// unavailable is a refusal of a request that has not run, with a time to come back.
+func unavailable(kind Kind, after time.Duration, detail string) *Failure {
+	return &Failure{Kind: kind, Status: http.StatusServiceUnavailable, RetryAfter: after, Detail: detail}
+}
+
+// problem is the body of a failure (RFC 9457).
+type problem struct {
+	Type    string `json:"type"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail"`
+	Outcome string `json:"outcome"`
+}
+
+// write sends a failure to the caller.
+func (g *Gateway) write(w http.ResponseWriter, one *call, f *Failure) {
+	h := w.Header()
+	g.options.Codec.EncodeRefusal(h, one.info.ID)
+	h.Set("Content-Type", "application/problem+json")
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	outcome := "not-run"
+	if f.Ran() {
+		outcome = "failed"
+		if one.route != nil && !one.route.Repeatable() {
+			outcome = "unknown"
+		}
+	}
+	body, err := json.Marshal(problem{Type: "about:blank#" + string(f.Kind), Status: f.Status, Detail: f.Detail, Outcome: outcome})
+	if err != nil {
+		g.logger.Error().Str("request_id", one.info.ID).Err(err).Msg("the problem can't be encoded")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(f.Status)
+	if _, err := w.Write(body); err != nil {
+		g.logger.Debug().Str("request_id", one.info.ID).Err(err).Msg("the caller left before its answer")
+	}
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/steady"
+)
+
+const (
+	// maxUnsent bounds the backend servers that could not be reached at all for one request.
+	maxUnsent = 4
+	// maxRejections bounds the backend servers that rejected one request without running it.
+	maxRejections = 2
+	// leastRetryTime is the time left below which a further try can't succeed.
+	leastRetryTime = 20 * time.Millisecond
+	// defaultRetryAfter is told to callers where nothing better is known: the time
+	// in which a busy engine usually frees a slot.
+	defaultRetryAfter = 300 * time.Millisecond
+)
+
+// progress is how far a call has come over one or several backend servers.
+type progress struct {
+	relay *relay
+	// tried holds the ids of the backend servers that may not be chosen again.
+	tried map[string]bool
+	// sends counts the requests that left this process, ran those that may have run.
+	sends, ran         int
+	unsent, rejections int
+	mayHaveRun         bool
+	// server is the backend server of the last send.
+	server     string
+	firstSent  time.Time
+	waited     time.Duration
+	firstEvent time.Duration
+	status     int
+	// reply is the last failure that a backend server answered with.
+	reply *reply
+}
+
+// verdict says what became of one send.
+type verdict int
+
+const (
+	// verdictAnswered: the caller has a whole answer.
+	verdictAnswered verdict = iota
+	// verdictUnsent: no byte left this process.
+	verdictUnsent
+	// verdictRejected: the backend server says that it hasn't run the request.
+	verdictRejected
+	// verdictFailed: the request may have run, and there is no whole answer.
+	verdictFailed
+)
+
+func (v verdict) String() string {
+	switch v {
+	case verdictAnswered:
+		return "answered"
+	case verdictUnsent:
+		return "unsent"
+	case verdictRejected:
+		return "rejected"
+	}
+	return "failed"
+}
+
+// run answers a call. Every failure it returns is final.
+func (g *Gateway) run(ctx context.Context, one *call, p *progress) *Failure {
+	p.tried = map[string]bool{}
+	for {
+		place, failure := g.place(ctx, one, p)
+		if failure != nil {
+			return g.final(ctx, one, p, failure)
+		}
+		outcome, err := g.send(ctx, one, p, place)
+		g.metrics.sent(one, outcome)
+		if outcome == verdictAnswered {
+			return nil
+		}
+		g.logger.Info().Str("request_id", one.info.ID).Str("backend_server", place.server.ID).
+			Str("address", place.server.Address).Int("sends", p.sends).Str("outcome", outcome.String()).Err(err).Msg("send")
+		if ctx.Err() != nil || !g.mayTryAgain(one, p, outcome) {
+			return g.final(ctx, one, p, nil)
+		}
+	}
+}
+
+// mayTryAgain reports whether a call may go to another backend server.
+func (g *Gateway) mayTryAgain(one *call, p *progress, last verdict) bool {
+	if steady.Until(one.deadline) < leastRetryTime {
+		return false
+	}
+	switch last {
+	case verdictUnsent:
+		p.unsent++
+		return p.unsent < maxUnsent
+	case verdictRejected:
+		p.rejections++
+		return p.rejections <= maxRejections && g.retries.take(one.service, g.options.Entries(), time.Now())
+	}
+	return one.route.Repeatable() && p.ran < one.route.MaxServers && g.retries.take(one.service, g.options.Entries(), time.Now())
+}
+
+// final returns the last word on a call that has no whole answer. Refused is why it
+// could not be placed (again), or nil.
+func (g *Gateway) final(ctx context.Context, one *call, p *progress, refused *Failure) *Failure {
+	switch {
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
+		return &Failure{Kind: KindCallerLeft, Status: http.StatusBadGateway, Detail: "the caller left"}
+	case ctx.Err() != nil && p.mayHaveRun:
+		return &Failure{Kind: KindTimeout, Status: http.StatusGatewayTimeout, Detail: "no whole answer at the deadline"}
+	case ctx.Err() != nil:
+		return unavailable(KindTimeout, defaultRetryAfter, "no slot before the deadline")
+	case p.reply != nil && p.reply.passable() && !p.relay.started:
+		if err := p.relay.whole(p.reply); err != nil {
+			return &Failure{Kind: KindCallerLeft, Status: http.StatusBadGateway, Detail: "the caller left during its answer"}
+		}
+		p.status = p.reply.status
+		return nil
+	case p.mayHaveRun:
+		return &Failure{Kind: KindFailed, Status: http.StatusBadGateway, Detail: "the backend server gave no whole answer"}
+	case refused != nil:
+		return refused
+	case p.rejections > 0:
+		return unavailable(KindRejected, defaultRetryAfter, "the backend servers are full")
+	}
+	return unavailable(KindNoServer, defaultRetryAfter, "no backend server can be reached")
+}
+
+// send sends a call to the backend server that it was placed at, once.
+func (g *Gateway) send(ctx context.Context, one *call, p *progress, at *placement) (verdict, error) {
+	sent := time.Now()
+	p.server = at.server.ID
+	p.tried[at.server.ID] = true
+	result := g.exchange(ctx, one, p, at)
+	outcome := admission.Outcome{
+		Sent:         result.verdict == verdictAnswered || result.verdict == verdictFailed,
+		Failed:       result.verdict == verdictFailed && ctx.Err() == nil,
+		FirstToken:   result.firstEvent,
+		OutputTokens: result.events,
+	}
+	if outcome.Sent {
+		p.mayHaveRun = true
+		p.ran++
+	}
+	if p.firstEvent == 0 {
+		p.firstEvent = result.firstEvent
+	}
+	at.release(outcome)
+	g.servers.finished(at.server.ID, result, time.Since(sent), ctx.Err() != nil)
+	return result.verdict, result.err
+}
+
+// stillUsable reports whether a backend server may get a request now.
+func (g *Gateway) stillUsable(server fleet.Server) bool {
+	return g.options.Directory.Usable(server.ID)
+}
--- /dev/null
+++ b/internal/limit/pool.go
@@ -0,0 +1,251 @@
+package limit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// peerSilentAfter is how long an entry's last known use is carried on when nothing
+	// is heard of it.
+	peerSilentAfter = 4 * time.Second
+	// startLevel is the part of its burst that a bucket holds in a process that knows
+	// nothing of the past.
+	startLevel = 0.25
+	// shareMargin lets an entry use more than its share while the bucket is full
+	// enough, as demand moves between entries.
+	shareMargin = 1.5
+	// lowLevel is the part of the burst below which an entry keeps to its share.
+	lowLevel = 0.5
+	// demandMemory is the time constant of a demand's decay.
+	demandMemory = 2 * time.Second
+	// longestRetryAfter bounds what a caller over its limit is told to wait.
+	longestRetryAfter = 5 * time.Second
+)
+
+// Rate is a limit in tokens.
+type Rate struct {
+	PerSecond float64
+	Burst     float64
+}
+
+// Use is what one entry tells the others of an account.
+type Use struct {
+	// Spent is the number of tokens admitted since the entry started. It only grows.
+	Spent float64
+	// Demand is the number of tokens asked for in a second, the refused ones included.
+	Demand float64
+	// Level is what the entry believes to be left in the account's bucket.
+	Level float64
+}
+
+// Pool holds the token buckets of client accounts, which all entries draw from. Each
+// entry counts what all of them have spent, as they tell each other, and keeps to a
+// part of what is left by its share of the demand. It is safe for concurrent use.
+type Pool struct {
+	mu       sync.Mutex
+	accounts map[string]*pooled
+	peers    map[string]*peerUse
+	// entries is the number of entries that are believed alive, this one included.
+	entries int
+	// quorate is true while this entry hears most of the entries.
+	quorate bool
+	adopted bool
+}
+
+// pooled is one account's bucket.
+type pooled struct {
+	rate   Rate
+	level  float64
+	at     time.Time
+	spent  float64
+	demand rate
+	// since counts the tokens admitted since the others were heard last.
+	since float64
+	// levelThen is the level when the others were heard last.
+	levelThen float64
+	heardAt   time.Time
+}
+
+// peerUse is what was heard of another entry.
+type peerUse struct {
+	boot     string
+	heard    time.Time
+	carried  time.Time
+	accounts map[string]Use
+	// estimated is what was taken for it while it was silent, by account.
+	estimated map[string]float64
+}
+
+// NewPool returns a pool of one entry.
+func NewPool() *Pool {
+	return &Pool{accounts: map[string]*pooled{}, peers: map[string]*peerUse{}, entries: 1, quorate: true}
+}
+
+// SetEntries sets the number of entries alive, this one included, and whether this
+// one hears most of them.
+func (p *Pool) SetEntries(n int, quorate bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries, p.quorate = max(n, 1), quorate
+}
+
+// Admit takes the tokens of one request. It fails with *ExceededError.
+func (p *Pool) Admit(name string, limit Rate, tokens float64, now time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(name, limit, now)
+	p.carry(now)
+	a.fill(now)
+	a.demand.add(tokens, now)
+	if wait := p.wait(a, name, now); wait > 0 {
+		return errors.WithStack(&ExceededError{Account: name, Kind: KindTokens, RetryAfter: min(wait, longestRetryAfter)})
+	}
+	a.level -= tokens
+	a.spent += tokens
+	a.since += tokens
+	return nil
+}
+
+// Refund gives the tokens of a request back that did not run.
+func (p *Pool) Refund(name string, tokens float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a := p.accounts[name]; a != nil {
+		// Spent only grows, for the others: the refund stays with this entry.
+		a.since -= tokens
+		a.level += tokens
+	}
+}
+
+// wait returns how long until the next request may be admitted; 0: now.
+func (p *Pool) wait(a *pooled, name string, now time.Time) time.Duration {
+	if a.level <= 0 {
+		return timeFor(-a.level+1, a.rate.PerSecond)
+	}
+	if p.entries == 1 || a.level > lowLevel*a.rate.Burst {
+		return 0
+	}
+	share := p.share(a, name, now)
+	mine := (max(a.levelThen, 0) + a.rate.PerSecond*now.Sub(a.heardAt).Seconds()) * min(1, share*shareMargin)
+	if a.since <= mine {
+		return 0
+	}
+	return timeFor(a.since-mine+1, a.rate.PerSecond*share)
+}
+
+func timeFor(tokens, perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return longestRetryAfter
+	}
+	return max(time.Duration(tokens/perSecond*float64(time.Second)), time.Millisecond)
+}
+
+// share returns this entry's part of the demand for an account.
+func (p *Pool) share(a *pooled, name string, now time.Time) float64 {
+	equal := 1 / float64(p.entries)
+	own := a.demand.perSecond(now)
+	total := own
+	for _, peer := range p.peers {
+		total += peer.accounts[name].Demand
+	}
+	if total <= 0 {
+		return equal
+	}
+	return max(own/total, equal/2)
+}
+
+func (p *Pool) account(name string, limit Rate, now time.Time) *pooled {
+	a := p.accounts[name]
+	if a == nil {
+		a = &pooled{rate: limit, level: startLevel * limit.Burst, at: now, heardAt: now}
+		a.levelThen = a.level
+		p.accounts[name] = a
+	}
+	if a.rate != limit {
+		a.fill(now)
+		a.rate = limit
+		a.level = min(a.level, limit.Burst)
+	}
+	return a
+}
+
+func (a *pooled) fill(now time.Time) {
+	if elapsed := now.Sub(a.at).Seconds(); elapsed > 0 {
+		a.level = min(a.level+elapsed*a.rate.PerSecond, a.rate.Burst)
+		a.at = now
+	}
+}
+
+// carry takes what silent entries are likely to have spent out of the buckets. An
+// entry that hears only a few others keeps counting them: they serve beyond its sight.
+func (p *Pool) carry(now time.Time) {
+	for id, peer := range p.peers {
+		silent := now.Sub(peer.heard)
+		if silent < time.Second {
+			continue
+		}
+		if silent > peerSilentAfter && p.quorate {
+			delete(p.peers, id)
+			continue
+		}
+		elapsed := now.Sub(peer.carried).Seconds()
+		if elapsed < 0.1 {
+			continue
+		}
+		peer.carried = now
+		for name, use := range peer.accounts {
+			if a := p.accounts[name]; a != nil {
+				tokens := min(use.Demand, a.rate.PerSecond/float64(p.entries)) * elapsed
+				a.level -= tokens
+				peer.estimated[name] += tokens
+			}
+		}
+	}
+}
+
+// Report returns this entry's use of all accounts.
+func (p *Pool) Report(now time.Time) map[string]Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make(map[string]Use, len(p.accounts))
+	for name, a := range p.accounts {
+		a.fill(now)
+		all[name] = Use{Spent: a.spent, Demand: a.demand.perSecond(now), Level: a.level}
+	}
+	return all
+}
+
+// Hear takes the use that another entry told, as of a moment. Boot tells its
+// incarnations apart.
+func (p *Pool) Hear(id, boot string, use map[string]Use, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.peers[id]
+	if before != nil && before.boot == boot && before.heard.After(now) {
+		return
+	}
+	for name, told := range use {
+		a := p.accounts[name]
+		if a == nil {
+			continue
+		}
+		a.fill(now)
+		switch {
+		case before != nil && before.boot == boot:
+			a.level -= max(told.Spent-before.accounts[name].Spent, 0) - before.estimated[name]
+		case !p.adopted:
+			// A process that has just started takes over what the others know.
+			a.level = min(a.level, told.Level)
+		case before != nil:
+			a.level -= told.Spent
+		}
+		a.levelThen, a.heardAt, a.since = a.level, now, 0
+	}
+	if len(use) > 0 {
+		p.adopted = true
+	}
+	p.peers[id] = &peerUse{boot: boot, heard: now, carried: now, accounts: use, estimated: map[string]float64{}}
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,327 @@
+package roster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/steady"
+)
+
+const (
+	// period is the time between two rounds of exchanges in a small deployment: short
+	// against the window of account limits.
+	period = 150 * time.Millisecond
+	// callTimeout bounds one exchange.
+	callTimeout = 400 * time.Millisecond
+	// fanout bounds the entries that are called in one round.
+	fanout = 4
+	// smallRoster is the number of entries up to which each pair exchanges in every round.
+	smallRoster = 6
+	// aliveFor is how long an entry counts as alive after it was heard.
+	aliveFor = 1500 * time.Millisecond
+	// knownFor is how long an entry counts as part of the whole after it was heard.
+	knownFor = 20 * time.Second
+	// relayFor is how old news of another entry may be to be told on.
+	relayFor = time.Second
+	// confirmSoon is the age of the configuration's confirmation from which on every
+	// other entry is asked for a newer one.
+	confirmSoon = time.Second
+	// silentPeriod is the time between two calls to an entry that doesn't answer.
+	silentPeriod = 2 * time.Second
+	// maxMessageBytes bounds a message.
+	maxMessageBytes = 4 << 20
+)
+
+// Configuration is this entry's configuration as others may take it over.
+type Configuration struct {
+	Version int64
+	// Raw is the configuration as it was read; nil if there is none.
+	Raw []byte
+	// Confirmed is a moment (steady clock) up to which it was known to be the newest.
+	Confirmed time.Time
+}
+
+// Options configure a Roster. All are required.
+type Options struct {
+	ID      string
+	Address string
+	Boot    string
+	Client  *http.Client
+	Pool    *limit.Pool
+	// Configuration returns the configuration in force.
+	Configuration func() Configuration
+	// Offer takes over a newer configuration of another entry.
+	Offer func(raw []byte)
+	// Confirm says that a version was known to be the newest one at a moment.
+	Confirm func(version int64, at time.Time)
+	Logger  zerolog.Logger
+}
+
+// member is what is known of another entry.
+type member struct {
+	id       string
+	address  string
+	boot     string
+	heard    time.Time
+	called   time.Time
+	calling  bool
+	accounts map[string]limit.Use
+}
+
+// Roster exchanges with the other entries. It is safe for concurrent use.
+type Roster struct {
+	options Options
+
+	mu      sync.Mutex
+	members map[string]*member
+}
+
+// New returns a roster that knows no other entry.
+func New(options Options) *Roster {
+	return &Roster{options: options, members: map[string]*member{}}
+}
+
+// Learn adds an entry that registered itself, or its new address.
+func (r *Roster) Learn(id, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.learn(id, address)
+}
+
+func (r *Roster) learn(id, address string) *member {
+	if id == r.options.ID {
+		return nil
+	}
+	m := r.members[id]
+	if m == nil {
+		m = &member{id: id}
+		r.members[id] = m
+	}
+	m.address = address
+	return m
+}
+
+// Entries returns the number of entries that are alive, this one included.
+func (r *Roster) Entries() int {
+	n, _ := r.count(time.Now())
+	return n
+}
+
+// count returns the number of entries that are alive, and whether they are most of
+// those known; this one included.
+func (r *Roster) count(now time.Time) (alive int, quorate bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	alive, known := 1, 1
+	for _, m := range r.members {
+		if now.Sub(m.heard) < aliveFor {
+			alive++
+		}
+		if now.Sub(m.heard) < knownFor {
+			known++
+		}
+	}
+	return alive, 2*alive > known
+}
+
+// Run exchanges with the other entries until ctx is done.
+func (r *Roster) Run(ctx context.Context) error {
+	for {
+		timer := time.NewTimer(r.pause())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case now := <-timer.C:
+			r.options.Pool.SetEntries(r.count(now))
+			for _, m := range r.choose(now) {
+				go r.call(ctx, m)
+			}
+		}
+	}
+}
+
+// pause spreads the rounds, so that entries that start together don't call in step.
+func (r *Roster) pause() time.Duration {
+	return time.Duration((0.8 + 0.4*rand.Float64()) * float64(period))
+}
+
+// choose returns the entries to call in this round and marks them. Of each pair the
+// one with the lower id calls, unless the other one hasn't been heard for a while.
+func (r *Roster) choose(now time.Time) []*member {
+	stale := steady.Since(r.options.Configuration().Confirmed) > confirmSoon
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var due []*member
+	for _, m := range r.members {
+		silent := now.Sub(m.heard)
+		switch {
+		case m.calling:
+		case silent > aliveFor && now.Sub(m.called) < silentPeriod:
+		case stale, r.options.ID < m.id, silent > 3*period, len(r.members) >= smallRoster:
+			due = append(due, m)
+		}
+	}
+	rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	due = due[:min(len(due), fanout)]
+	for _, m := range due {
+		m.calling, m.called = true, now
+	}
+	return due
+}
+
+func (r *Roster) call(ctx context.Context, m *member) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked, askedSteady := time.Now(), steady.Now()
+	answer, err := r.exchange(ctx, m.address)
+	r.mu.Lock()
+	m.calling = false
+	lost := err != nil && !m.heard.IsZero() && asked.Sub(m.heard) < aliveFor
+	r.mu.Unlock()
+	if err != nil {
+		if lost && ctx.Err() == nil {
+			r.options.Logger.Info().Str("dependency", "entry").Str("peer", m.id).Err(err).Msg("an exchange failed")
+		}
+		return
+	}
+	r.take(answer, asked)
+	mine := r.options.Configuration()
+	switch {
+	case answer.Version > mine.Version:
+		r.fetch(ctx, m.address)
+	case answer.Version == mine.Version && answer.ConfirmedAgeMS >= 0:
+		// The answer was made after the call, so this errs on the safe side.
+		r.options.Confirm(answer.Version, askedSteady.Add(-milliseconds(answer.ConfirmedAgeMS)))
+	}
+}
+
+func (r *Roster) exchange(ctx context.Context, address string) (*message, error) {
+	body, err := json.Marshal(r.message())
+	if err != nil {
+		return nil, errors.Wrap(err, "roster message")
+	}
+	data, err := r.post(ctx, http.MethodPost, address, PathExchange, body)
+	if err != nil {
+		return nil, err
+	}
+	var answer message
+	return &answer, errors.Wrap(json.Unmarshal(data, &answer), "roster message")
+}
+
+// fetch takes over the newer configuration of another entry.
+func (r *Roster) fetch(ctx context.Context, address string) {
+	raw, err := r.post(ctx, http.MethodGet, address, PathConfiguration, nil)
+	if err != nil {
+		r.options.Logger.Info().Str("peer", address).Err(err).Msg("another entry's configuration could not be read")
+		return
+	}
+	r.options.Offer(raw)
+}
+
+func (r *Roster) post(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "roster request")
+	}
+	response, err := r.options.Client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "roster call")
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "roster answer")
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.WithStack(&StatusError{Status: response.StatusCode})
+	}
+	return data, nil
+}
+
+// StatusError says that another entry answered with an unexpected status.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return "another entry answered " + http.StatusText(e.Status) }
+
+// message returns what this entry tells the others.
+func (r *Roster) message() message {
+	now := time.Now()
+	configuration := r.options.Configuration()
+	told := message{
+		ID: r.options.ID, Address: r.options.Address, Boot: r.options.Boot,
+		Version: configuration.Version, ConfirmedAgeMS: -1,
+		Uses: []entryUse{{
+			ID: r.options.ID, Address: r.options.Address, Boot: r.options.Boot,
+			Accounts: r.options.Pool.Report(now),
+		}},
+	}
+	if !configuration.Confirmed.IsZero() {
+		told.ConfirmedAgeMS = steady.Since(configuration.Confirmed).Milliseconds() + 1
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.members {
+		if age := now.Sub(m.heard); age < relayFor {
+			told.Uses = append(told.Uses, entryUse{ID: m.id, Address: m.address, Boot: m.boot, AgeMS: age.Milliseconds(), Accounts: m.accounts})
+		}
+	}
+	return told
+}
+
+// take learns from what another entry told.
+func (r *Roster) take(told *message, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, use := range told.Uses {
+		heard := now.Add(-milliseconds(use.AgeMS))
+		m := r.members[use.ID]
+		if use.ID == r.options.ID || (m != nil && !heard.After(m.heard)) {
+			continue
+		}
+		m = r.learn(use.ID, use.Address)
+		m.heard, m.boot, m.accounts = heard, use.Boot, use.Accounts
+		r.options.Pool.Hear(use.ID, use.Boot, use.Accounts, heard)
+	}
+}
+
+// Register serves the other entries on a mux.
+func (r *Roster) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+PathExchange, r.serveExchange)
+	mux.HandleFunc("GET "+PathConfiguration, r.serveConfiguration)
+}
+
+func (r *Roster) serveExchange(w http.ResponseWriter, request *http.Request) {
+	var told message
+	if err := json.NewDecoder(io.LimitReader(request.Body, maxMessageBytes)).Decode(&told); err != nil {
+		http.Error(w, "the message can't be read: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.take(&told, time.Now())
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(r.message()); err != nil {
+		r.options.Logger.Debug().Str("peer", told.ID).Err(err).Msg("the peer left before the answer")
+	}
+}
+
+func (r *Roster) serveConfiguration(w http.ResponseWriter, _ *http.Request) {
+	raw := r.options.Configuration().Raw
+	if raw == nil {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(raw); err != nil {
+		r.options.Logger.Debug().Err(err).Msg("the peer left before the answer")
+	}
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,199 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// readBuffer holds the head of an answer or some events of a stream.
+	readBuffer = 4 << 10
+	// inlineBody is the size up to which a body is written before the answer is
+	// read; a server that answers early may not read a longer one.
+	inlineBody = 4 << 10
+	// maxStray bounds the answers to other requests that are passed over.
+	maxStray = 4
+	// maxStrayBytes bounds the body of such an answer.
+	maxStrayBytes = 1 << 20
+)
+
+// conn is one connection. It carries one request at a time.
+type conn struct {
+	net.Conn
+	server  string
+	reader  *bufio.Reader
+	expires time.Time
+	once    sync.Once
+}
+
+func newConn(raw net.Conn, server string) *conn {
+	return &conn{Conn: raw, server: server, reader: bufio.NewReaderSize(raw, readBuffer)}
+}
+
+// close closes the connection; its error says nothing of the request.
+func (c *conn) close() {
+	c.once.Do(func() { _ = c.Conn.Close() })
+}
+
+// quiet reports whether an idle connection is open and has received nothing. Bytes
+// that arrive without a request belong to none.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+	})
+	return err == nil && quiet
+}
+
+// exchange sends a request and reads the head of its answer.
+func (c *conn) exchange(ctx context.Context, client *Client, request *Request) (*Answer, error) {
+	stop := context.AfterFunc(ctx, c.close)
+	address := c.RemoteAddr().String()
+	head := request.head()
+	written := make(chan error, 1)
+	if len(request.Body) <= inlineBody {
+		n, err := c.Write(append(head, request.Body...))
+		if err != nil && n == 0 {
+			stop()
+			return nil, &NotSentError{Address: address, Cause: err}
+		}
+		written <- err
+	} else {
+		go func() {
+			_, err := c.Write(append(head, request.Body...))
+			written <- err
+		}()
+	}
+	response, err := c.readHead(client, request)
+	if err != nil {
+		stop()
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
+		return nil, &BrokenError{Address: address, Cause: err}
+	}
+	return &Answer{
+		Status: response.StatusCode, Header: response.Header, body: response.Body, closing: response.Close,
+		conn: c, client: client, written: written, stop: stop,
+	}, nil
+}
+
+// head returns the request line and the headers, in a fixed order.
+func (r *Request) head() []byte {
+	var b bytes.Buffer
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	names := make([]string, 0, len(r.Header))
+	for name := range r.Header {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		for _, value := range r.Header[name] {
+			b.WriteString(name + ": " + value + "\r\n")
+		}
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// readHead reads heads until it finds the answer to the request. Answers that name
+// another request are late or extra ones and are passed over.
+func (c *conn) readHead(client *Client, request *Request) (*http.Response, error) {
+	for stray := 0; stray <= maxStray; {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		if err != nil {
+			return nil, errors.Wrap(err, "answer")
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		id := ""
+		if client.options.IDOf != nil {
+			id = client.options.IDOf(response.Header)
+		}
+		if id == "" || id == request.ID {
+			return response, nil
+		}
+		stray++
+		if _, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); !errors.Is(err, io.EOF) {
+			return nil, errors.WithStack(&StrayError{ID: id})
+		}
+		if response.Close {
+			return nil, errors.WithStack(&StrayError{ID: id})
+		}
+	}
+	return nil, errors.WithStack(&StrayError{})
+}
+
+// StrayError says that a connection carried an answer to another request and can't be used.
+type StrayError struct{ ID string }
+
+func (e *StrayError) Error() string { return "the connection carried an answer to the request " + e.ID }
+
+// Answer is an answer of which the head has been read.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	body    io.ReadCloser
+	closing bool
+	conn    *conn
+	client  *Client
+	written chan error
+	stop    func() bool
+	ended   bool
+}
+
+// Read reads the body. It returns io.EOF only at the end of a whole body.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		a.ended = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept, for keepAlive if that is known,
+// if both request and answer passed whole; otherwise it is closed, and the server
+// stops the request.
+func (a *Answer) Close(keepAlive time.Duration) {
+	stopped := a.stop()
+	var wrote bool
+	select {
+	case err := <-a.written:
+		wrote = err == nil
+	default:
+	}
+	if !stopped || !a.ended || !wrote || a.closing || a.conn.reader.Buffered() > 0 {
+		a.conn.close()
+		return
+	}
+	a.client.put(a.conn, keepAlive)
+}
