Order requests by account, then by route; withdraw tickets at once

Ruled out: a stuck count of requests outside the slots (mended, no change by itself). Change: the account's rank goes first and the route's decides between equals; the body of a slot's stream ends with its caller; refunds reach the peers; lower tiers leave the slots free that higher ones need; requests that can't have a slot in time are refused at once.

--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -177,7 +177,7 @@
 		return err
 	}
 	server := slots.NewServer(slots.ServerOptions{
-		Queue:  admission.NewSlotQueue(admission.SlotOptions{LateHold: 1}),
+		Queue:  admission.NewSlotQueue(admission.SlotOptions{}),
 		Probe:  platform.NewEngineProbe(n.settings.Engine),
 		Logger: n.logger,
 	})
@@ -314,7 +314,7 @@
 
 // leave takes the entry out of the balancer, then ends connections as their requests end.
 func (e *entryNode) leave(bounded context.Context) {
-	e.gateway.Leave()
+	e.gateway.Leave(e.settings.Bounds.ShutdownGrace - exitMargin)
 	select {
 	case <-time.After(leaveAfter):
 	case <-bounded.Done():
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -35,12 +35,12 @@
 	// Objective is when the first token should be there; zero: no objective. Only a
 	// SlotQueue goes by it.
 	Objective time.Time
-	// ObjectiveSpan is the time that the objective allowed in all.
-	ObjectiveSpan time.Duration
-	Route         string
-	Version       string
-	PromptTokens  uint32
-	OutputTokens  uint32
+	// LateHold is how long past its objective the request may still wait for a slot.
+	LateHold     time.Duration
+	Route        string
+	Version      string
+	PromptTokens uint32
+	OutputTokens uint32
 	// Prefixes are hashes of the prompt's leading blocks, shortest prefix first.
 	Prefixes []uint64
 }
--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -13,8 +14,22 @@
 	defaultSlots = 4
 	// maxSlotQueued bounds the waiting tickets of one queue.
 	maxSlotQueued = 512
-	// topMemory is how long a slot is kept for the top tier after one of its requests.
-	topMemory = 2 * time.Second
+	// occupancyMemory is the time constant of the occupancy that a tier is known for.
+	occupancyMemory = 3 * time.Second
+	// reserveSpread is how many standard deviations of the higher tiers' occupancy are
+	// kept free for them.
+	reserveSpread = 1.0
+	// floorPart is the part of the slots that lower tiers may use whatever waits above them.
+	floorPart = 1.0 / 3
+	// hedgeFactor is at how many queues a waiting request is taken to stand.
+	hedgeFactor = 3
+	// expectedRest is the part of a request's time in its slot that is left on average.
+	expectedRest = 0.5
+	// minOccupancy is the occupancy under which a tier counts as idle, in slots.
+	minOccupancy = 0.05
+	// reportLag is how old an engine's own count may be when it is compared with the
+	// slots that are handed out: its report and requests on their way to it.
+	reportLag = 400 * time.Millisecond
 )
 
 // SlotOptions configure a SlotQueue.
@@ -23,16 +38,14 @@
 	Slots int
 	// MemoryTokens bounds the tokens of running requests; 0 is unlimited.
 	MemoryTokens int
-	// LateHold is how long past its objective a ticket may still wait for a slot, as a
-	// multiple of the objective.
-	LateHold float64
 }
 
 // SlotQueue is the queue of one backend server that runs a fixed number of requests
 // at a time and admits in the order of arrival. It hands out exactly those slots,
-// so that the order is decided here: requests that can still meet their objective
-// go first, by tier; each lower tier keeps a floor under load; requests that are
-// late already take what is left. It is safe for concurrent use.
+// so that the order is decided here: higher tiers first, and within a tier those that
+// can still meet their objective. Lower tiers, whose requests may run long, leave the
+// slots free that the higher ones are known to need, but keep a floor under any load. A
+// request that can't have a slot in time is refused at once. It is safe for concurrent use.
 type SlotQueue struct {
 	mu       sync.Mutex
 	options  SlotOptions
@@ -40,9 +53,11 @@
 	running  map[*SlotTicket]struct{}
 	memory   int
 	byRank   [MaxRank + 1]int
+	occupied [MaxRank + 1]occupancy
 	outside  int
+	// held remembers the most slots held in the last time, for at least reportLag.
+	held     recentMax
 	draining bool
-	lastTop  time.Time
 	arrivals uint64
 	speed    speed
 	failures mean
@@ -118,22 +133,33 @@
 	q.schedule(now)
 }
 
-// SetOutside sets how many requests the backend server holds that took no slot
-// here: those of before this process started, or of callers that bypass it.
-func (q *SlotQueue) SetOutside(now time.Time, n int) {
+// Report takes the number of requests that the backend server says it holds. Those
+// beyond the slots handed out lately took none here: they are of before this process
+// started, or of callers that bypass it, and leave fewer slots to hand out.
+func (q *SlotQueue) Report(now time.Time, requests int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.outside = max(n, 0)
+	q.held.add(now, len(q.running))
+	q.outside = max(requests-q.held.most(), 0)
 	q.schedule(now)
 }
 
-// Held returns the number of slots that are handed out.
-func (q *SlotQueue) Held() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return len(q.running)
+// recentMax is the largest of the counts of the last reportLag to two of them.
+type recentMax struct {
+	since        time.Time
+	now, earlier int
+}
+
+func (m *recentMax) add(now time.Time, n int) {
+	if now.Sub(m.since) > reportLag {
+		m.earlier, m.now, m.since = m.now, n, now
+		return
+	}
+	m.now = max(m.now, n)
 }
 
+func (m *recentMax) most() int { return max(m.now, m.earlier) }
+
 // Submit queues a request. The ticket may be decided at once.
 func (q *SlotQueue) Submit(now time.Time, request Request) *SlotTicket {
 	q.mu.Lock()
@@ -141,14 +167,13 @@
 	request.Rank = min(request.Rank, MaxRank)
 	q.arrivals++
 	t := &SlotTicket{request: request, decided: make(chan struct{}), arrival: q.arrivals, queued: now}
-	if request.Rank == topRank {
-		q.lastTop = now
-	}
 	switch {
 	case q.draining:
 		q.refuse(t, ReasonDraining)
 	case len(q.waiting) >= maxSlotQueued:
 		q.refuse(t, ReasonShed)
+	case !q.inTime(now, t):
+		q.refuse(t, ReasonDeadline)
 	default:
 		t.state = stateQueued
 		q.waiting = append(q.waiting, t)
@@ -173,7 +198,7 @@
 		q.remove(t)
 		q.refuse(t, ReasonBarred)
 	case stateRunning:
-		q.free(t)
+		q.free(now, t)
 		q.schedule(now)
 	}
 }
@@ -185,7 +210,7 @@
 	if t.state != stateRunning {
 		return
 	}
-	q.free(t)
+	q.free(now, t)
 	if outcome.Sent {
 		q.learn(now, t, outcome)
 	}
@@ -267,15 +292,40 @@
 }
 
 func (q *SlotQueue) expired(now time.Time, t *SlotTicket) bool {
+	return !now.Add(q.firstToken(t)).Before(q.latest(t))
+}
+
+// latest returns when the first token of a ticket must be there for the ticket to
+// wait any longer.
+func (q *SlotQueue) latest(t *SlotTicket) time.Time {
 	r := &t.request
-	if !now.Add(q.firstToken(t)).Before(r.Deadline) {
+	if r.Objective.IsZero() {
+		return r.Deadline
+	}
+	latest := r.Objective.Add(r.LateHold)
+	if r.Deadline.Before(latest) {
+		return r.Deadline
+	}
+	return latest
+}
+
+// inTime reports whether a new ticket is likely to get a slot in time, after those
+// that go before it. Those stand in other queues too, and get most of their slots there.
+func (q *SlotQueue) inTime(now time.Time, t *SlotTicket) bool {
+	if len(q.waiting) == 0 && len(q.running)+q.outside < q.options.Slots && q.fits(now, t) {
 		return true
 	}
-	if q.options.LateHold <= 0 || r.Objective.IsZero() {
-		return false
+	ahead := 0
+	mine := q.order(now, t)
+	for _, other := range q.waiting {
+		if q.order(now, other).before(mine) {
+			ahead++
+		}
 	}
-	hold := time.Duration(q.options.LateHold * float64(r.ObjectiveSpan))
-	return now.After(r.Objective.Add(hold))
+	perSlot := q.speed.service.value
+	slots := float64(max(q.slotsFor(now, t.request.Rank), 1))
+	wait := seconds(perSlot / slots * (float64(ahead)/hedgeFactor + expectedRest) / hedgeFactor)
+	return now.Add(wait + q.firstToken(t)).Before(q.latest(t))
 }
 
 // firstToken returns the expected time from a grant to the first token.
@@ -304,18 +354,18 @@
 
 // order says which ticket goes first: the one with the smaller fields.
 type order struct {
-	late     bool
 	rank     uint32
+	late     bool
 	deadline time.Time
 	arrival  uint64
 }
 
 func (o order) before(other order) bool {
 	switch {
-	case o.late != other.late:
-		return !o.late
 	case o.rank != other.rank:
 		return o.rank < other.rank
+	case o.late != other.late:
+		return !o.late
 	case !o.deadline.Equal(other.deadline):
 		return o.deadline.Before(other.deadline)
 	}
@@ -333,24 +383,59 @@
 	return o
 }
 
-// floor returns the slots that a lower tier keeps under load.
+// floor returns the slots that a lower tier keeps under any load.
 func (q *SlotQueue) floor(rank uint32) int {
 	if rank == topRank {
 		return 0
 	}
-	return 1
+	return max(int(floorPart*float64(q.options.Slots)), 1)
+}
+
+// slotsFor returns the slots that a tier and those below it may use together: what
+// the higher tiers are known to need, and some more for their next requests, stays free.
+func (q *SlotQueue) slotsFor(now time.Time, rank uint32) int {
+	above := 0.0
+	for higher := uint32(0); higher < rank; higher++ {
+		above += q.occupied[higher].mean(now)
+	}
+	if above < minOccupancy {
+		return q.options.Slots
+	}
+	reserve := int(math.Round(above + reserveSpread*math.Sqrt(above)))
+	return max(q.options.Slots-reserve, q.floor(rank))
 }
 
-// fits reports whether a ticket may run beside what runs already: one slot stays
-// free for the top tier while that has requests, and the memory must suffice.
+// fits reports whether a ticket may run beside what runs already.
 func (q *SlotQueue) fits(now time.Time, t *SlotTicket) bool {
 	if most := q.options.MemoryTokens; most > 0 && len(q.running) > 0 && q.memory+t.tokens() > most {
 		return false
 	}
-	if t.request.Rank == topRank || now.Sub(q.lastTop) > topMemory || q.options.Slots < 3 {
-		return true
+	below := 0
+	for rank := t.request.Rank; rank <= MaxRank; rank++ {
+		below += q.byRank[rank]
 	}
-	return len(q.running)+q.outside < q.options.Slots-1 || t.request.Rank == 1
+	return t.request.Rank == topRank || below < q.slotsFor(now, t.request.Rank)
+}
+
+// occupancy is the mean number of slots that a tier holds, with exponential decay.
+type occupancy struct {
+	held  int
+	value float64
+	at    time.Time
+}
+
+func (o *occupancy) mean(now time.Time) float64 {
+	if o.at.IsZero() {
+		return 0
+	}
+	kept := math.Exp(-now.Sub(o.at).Seconds() / occupancyMemory.Seconds())
+	return float64(o.held) + (o.value-float64(o.held))*kept
+}
+
+func (o *occupancy) change(now time.Time, by int) {
+	o.value = o.mean(now)
+	o.held += by
+	o.at = now
 }
 
 func (t *SlotTicket) tokens() int {
@@ -362,14 +447,17 @@
 	t.state = stateRunning
 	t.started = now
 	q.running[t] = struct{}{}
+	q.held.add(now, len(q.running))
 	q.byRank[t.request.Rank]++
+	q.occupied[t.request.Rank].change(now, 1)
 	q.memory += t.tokens()
 	close(t.decided)
 }
 
-func (q *SlotQueue) free(t *SlotTicket) {
+func (q *SlotQueue) free(now time.Time, t *SlotTicket) {
 	delete(q.running, t)
 	q.byRank[t.request.Rank]--
+	q.occupied[t.request.Rank].change(now, -1)
 	q.memory -= t.tokens()
 	t.state = stateFinished
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,11 +13,20 @@
 )
 
 const (
+	// routeRanks and accountRanks bound the ranks that are told apart; together they
+	// make the ranks of admission.MaxRank.
+	routeRanks   = 4
+	accountRanks = 4
 	// staleRetryAfter is told to callers whom a process can't serve because it has lost
 	// the store: another process answers at once.
 	staleRetryAfter = 100 * time.Millisecond
 )
 
+// lateHoldObjectives is how long past their objectives requests may wait for a slot, in
+// objectives, by the rank of their route: those of the two highest ranks are short, and
+// a late answer is worth more to their callers than a refusal.
+var lateHoldObjectives = []float64{3, 2}
+
 // call is one request of a caller on its way.
 type call struct {
 	info    RequestInfo
@@ -40,12 +49,23 @@
 	account     *fleet.Account
 }
 
-// rank returns the tier of the request: the account's takes precedence.
+// rank returns the tier of the request among all: the account's rank takes precedence
+// over the route's, which decides between requests of accounts of one rank.
 func (c *call) rank() int {
+	route := min(max(c.route.Rank, 0), routeRanks-1)
+	account := route
 	if c.account != nil && c.account.HasRank {
-		return c.account.Rank
+		account = min(max(c.account.Rank, 0), accountRanks-1)
+	}
+	return account*routeRanks + route
+}
+
+// lateHold returns how long past its objective the request may still wait for a slot.
+func (c *call) lateHold() time.Duration {
+	if c.route.Rank < 0 || c.route.Rank >= len(lateHoldObjectives) {
+		return 0
 	}
-	return c.route.Rank
+	return time.Duration(lateHoldObjectives[c.route.Rank] * float64(c.route.Objective))
 }
 
 // tokens returns what the request counts for against its account's limit.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,14 @@
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
 
+const (
+	// shortCall is what a call takes beside its output: the longest usual wait for a
+	// slot, the prefill of a long prompt, and twice the work of a plain service.
+	shortCall = 1500 * time.Millisecond
+	// cautiousTokenTime is the time for one output token at a slow engine.
+	cautiousTokenTime = 10 * time.Millisecond
+)
+
 // Bounds are the limits that the deployment sets.
 type Bounds struct {
 	// ApplyWithin is how long a configuration change may take.
@@ -54,7 +62,9 @@
 	servers *serverTable
 	retries *retryBudget
 	running sync.WaitGroup
-	leaving atomic.Bool
+	// leaving is when every call must have ended (Unix nanoseconds of the wall clock);
+	// 0: the gateway isn't leaving.
+	leaving atomic.Int64
 }
 
 // New returns a gateway.
@@ -78,14 +88,31 @@
 // known, and the configuration is recent enough to check keys for a while.
 func (g *Gateway) Ready() bool {
 	manifest, confirmed := g.options.Manifest.Current()
-	if g.leaving.Load() || manifest == nil || !g.options.Directory.Loaded() {
+	if g.leaving.Load() != 0 || manifest == nil || !g.options.Directory.Loaded() {
 		return false
 	}
 	return !manifest.HasAccounts || steady.Since(confirmed) < g.options.Bounds.RevokeWithin/2
 }
 
-// Leave makes every answer from now on close its connection.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
+// Leave makes every answer from now on close its connection, and refuses requests
+// that are not likely to end within a time.
+func (g *Gateway) Leave(within time.Duration) { g.leaving.Store(time.Now().Add(within).UnixNano()) }
+
+// mayFinish reports whether a call is likely to end before this process does.
+func (g *Gateway) mayFinish(one *call) *Failure {
+	end := g.leaving.Load()
+	if end == 0 {
+		return nil
+	}
+	needed := shortCall
+	if one.engine != nil {
+		needed += time.Duration(one.outputTokens()) * cautiousTokenTime
+	}
+	if time.Until(time.Unix(0, end)) >= needed {
+		return nil
+	}
+	return unavailable(KindNotReady, staleRetryAfter, "this process is about to stop")
+}
 
 // Wait waits until no call is running. It fails with the error of ctx.
 func (g *Gateway) Wait(ctx context.Context) error {
@@ -106,10 +133,13 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
 	defer g.running.Done()
-	if g.leaving.Load() {
+	if g.leaving.Load() != 0 {
 		w.Header().Set("Connection", "close")
 	}
 	one, failure := g.accept(w, r)
+	if failure == nil {
+		failure = g.mayFinish(one)
+	}
 	if failure == nil {
 		failure = g.admit(one)
 	}
@@ -174,7 +204,8 @@
 		event.Int64("configuration", one.manifest.Version)
 	}
 	if one.route != nil {
-		event.Str("route", one.route.Name).Str("service", one.service).Str("account", one.accountName())
+		event.Str("route", one.route.Name).Str("service", one.service).Str("account", one.accountName()).
+			Int("rank", one.rank()).Int("prompt_tokens", one.info.PromptTokens).Int("output_tokens", one.info.MaxOutputTokens)
 	}
 	if p.sends > 0 {
 		event.Str("backend_server", p.server).Int("sends", p.sends).Dur("first_event_ms", p.firstEvent)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -30,6 +30,9 @@
 	loadFresh = 200 * time.Millisecond
 	// maxDirect bounds the requests of this entry at an engine whose sidecar is silent.
 	maxDirect = 2
+	// minSharedPart is the part of a prompt that must be shared with other requests for
+	// the request to look for an engine that holds it.
+	minSharedPart = 0.25
 	// forgetServerAfter is how long a server without requests is remembered.
 	forgetServerAfter = time.Minute
 )
@@ -313,12 +316,21 @@
 	return wait, free
 }
 
-// affinity names what a request shares with earlier ones; empty: nothing.
+// affinity names the leading parts of the prompt that other requests share; empty if
+// they are too short to matter. The last part belongs to the request itself.
 func (c *call) affinity() string {
-	if !c.route.PrefixAffinity || len(c.info.Parts) == 0 {
+	if !c.route.PrefixAffinity || len(c.info.Parts) < 2 {
 		return ""
 	}
-	return c.info.Parts[len(c.info.Parts)-1].ID
+	shared := c.info.Parts[:len(c.info.Parts)-1]
+	tokens := 0
+	for _, part := range shared {
+		tokens += part.Tokens
+	}
+	if float64(tokens) < minSharedPart*float64(c.info.PromptTokens) {
+		return ""
+	}
+	return shared[len(shared)-1].ID
 }
 
 // rendezvous scores a server for a key, so that all entries agree on the best one and
--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -33,7 +33,8 @@
 
 // Use is what one entry tells the others of an account.
 type Use struct {
-	// Spent is the number of tokens admitted since the entry started. It only grows.
+	// Spent is the number of tokens of requests admitted since the entry started, less
+	// those of requests that did not run.
 	Spent float64
 	// Demand is the number of tokens asked for in a second, the refused ones included.
 	Demand float64
@@ -114,7 +115,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if a := p.accounts[name]; a != nil {
-		// Spent only grows, for the others: the refund stays with this entry.
+		a.spent -= tokens
 		a.since -= tokens
 		a.level += tokens
 	}
@@ -235,7 +236,7 @@
 		a.fill(now)
 		switch {
 		case before != nil && before.boot == boot:
-			a.level -= max(told.Spent-before.accounts[name].Spent, 0) - before.estimated[name]
+			a.level -= told.Spent - before.accounts[name].Spent - before.estimated[name]
 		case !p.adopted:
 			// A process that has just started takes over what the others know.
 			a.level = min(a.level, told.Level)
--- a/internal/slots/client.go
+++ b/internal/slots/client.go
@@ -43,10 +43,16 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "request for a slot")
 	}
-	stream, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stream, cancelStream := context.WithCancel(context.WithoutCancel(ctx))
+	body := &leaseBody{first: first, last: make(chan []byte, 1), closed: make(chan struct{})}
+	// An HTTP/2 stream whose request body is still open ends only with that body.
+	cancel := func() {
+		cancelStream()
+		body.end()
+	}
 	stop := context.AfterFunc(ctx, cancel)
 	defer stop()
-	lease, err := c.open(stream, address, first, queued, cancel)
+	lease, err := c.open(stream, address, body, queued, cancel)
 	if err != nil {
 		cancel()
 		if ctx.Err() != nil {
@@ -61,8 +67,7 @@
 	return lease, nil
 }
 
-func (c *Client) open(ctx context.Context, address string, first []byte, queued func(admission.SlotLoad), cancel context.CancelFunc) (*Lease, error) {
-	body := &leaseBody{first: first, last: make(chan []byte, 1), closed: make(chan struct{})}
+func (c *Client) open(ctx context.Context, address string, body *leaseBody, queued func(admission.SlotLoad), cancel context.CancelFunc) (*Lease, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, body)
 	if err != nil {
 		return nil, errors.Wrap(err, "request for a slot")
@@ -162,12 +167,17 @@
 	return b.rest.Read(p)
 }
 
-// Close ends a Read that waits.
+// Close implements io.Closer.
 func (b *leaseBody) Close() error {
-	b.once.Do(func() { close(b.closed) })
+	b.end()
 	return nil
 }
 
+// end ends a Read that waits.
+func (b *leaseBody) end() {
+	b.once.Do(func() { close(b.closed) })
+}
+
 func (b *leaseBody) finish(last []byte) {
 	select {
 	case b.last <- last:
--- a/internal/slots/message.go
+++ b/internal/slots/message.go
@@ -24,12 +24,13 @@
 	Rank      uint32 `json:"rank"`
 	// BudgetMS is the time left until the deadline, in milliseconds.
 	BudgetMS int64 `json:"budget_ms"`
-	// ObjectiveMS is the time left until the first token should come; it may be
-	// negative. ObjectiveSpanMS is the time that the objective allowed in all; 0: none.
-	ObjectiveMS     int64 `json:"objective_ms"`
-	ObjectiveSpanMS int64 `json:"objective_span_ms"`
-	PromptTokens    int   `json:"prompt_tokens"`
-	OutputTokens    int   `json:"output_tokens"`
+	// ObjectiveMS is the time left until the first token should come, if HasObjective is
+	// set; it may be negative. LateHoldMS is how long past it the request may wait.
+	HasObjective bool  `json:"has_objective"`
+	ObjectiveMS  int64 `json:"objective_ms"`
+	LateHoldMS   int64 `json:"late_hold_ms"`
+	PromptTokens int   `json:"prompt_tokens"`
+	OutputTokens int   `json:"output_tokens"`
 	// Slots and MemoryTokens are the engine's capacity as the entry knows it.
 	Slots        int `json:"slots"`
 	MemoryTokens int `json:"memory_tokens"`
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -21,8 +21,6 @@
 	maxProbeFailures = 2
 	// tickInterval is the time between two looks at what has expired in the queue.
 	tickInterval = 20 * time.Millisecond
-	// settleTime is how long the engine's own count may lag behind a grant or an end.
-	settleTime = 400 * time.Millisecond
 )
 
 // EngineState is what the engine says of itself.
@@ -51,9 +49,7 @@
 
 	mu       sync.Mutex
 	failures int
-	// lastChange is when a slot was granted or freed last.
-	lastChange time.Time
-	holders    sync.WaitGroup
+	holders  sync.WaitGroup
 }
 
 // NewServer returns a server that takes its engine to be up.
@@ -99,10 +95,7 @@
 	s.failures = 0
 	now := time.Now()
 	s.queue.SetCapacity(now, 0, state.MemoryTokens)
-	if now.Sub(s.lastChange) < settleTime {
-		return
-	}
-	s.queue.SetOutside(now, state.Running+state.Waiting-s.queue.Held())
+	s.queue.Report(now, state.Running+state.Waiting)
 }
 
 func (s *Server) healthy() bool {
@@ -111,12 +104,6 @@
 	return s.failures < maxProbeFailures
 }
 
-func (s *Server) changed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastChange = time.Now()
-}
-
 // ServeHTTP queues a request for a slot, says when it is granted or refused, and
 // holds the slot until the stream ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -146,8 +133,6 @@
 		}, time.Since(now))
 		return
 	}
-	s.changed()
-	defer s.changed()
 	s.reply(w, ask, decision{Granted: true, Load: s.queue.Load()}, time.Since(now))
 	var seen result
 	if err := lines.Decode(&seen); err != nil {
@@ -216,15 +201,15 @@
 
 func (a *Ask) request(now time.Time) admission.Request {
 	r := admission.Request{
-		ID:            a.RequestID,
-		Account:       a.Account,
-		Rank:          a.Rank,
-		Deadline:      now.Add(time.Duration(a.BudgetMS) * time.Millisecond),
-		PromptTokens:  uint32(max(a.PromptTokens, 0)),
-		OutputTokens:  uint32(max(a.OutputTokens, 0)),
-		ObjectiveSpan: time.Duration(a.ObjectiveSpanMS) * time.Millisecond,
-	}
-	if a.ObjectiveSpanMS > 0 {
+		ID:           a.RequestID,
+		Account:      a.Account,
+		Rank:         a.Rank,
+		Deadline:     now.Add(time.Duration(a.BudgetMS) * time.Millisecond),
+		PromptTokens: uint32(max(a.PromptTokens, 0)),
+		OutputTokens: uint32(max(a.OutputTokens, 0)),
+		LateHold:     time.Duration(a.LateHoldMS) * time.Millisecond,
+	}
+	if a.HasObjective {
 		r.Objective = now.Add(time.Duration(a.ObjectiveMS) * time.Millisecond)
 	}
 	return r
