Tell entries that left after an outage from those that lapsed during it; keep fewer slots back

Ruled out: a late read (the removal was read 4 ms after its acknowledgement). Change: only removals read with the first answer after an outage, or of most of a service at once, count as lapses; the time is checked at each choice. Reserve for higher tiers 1.0 -> 0.35 standard deviations: entries queue at several engines, so that together they need less room. Tests: TestLapsedEntryIsKeptForTheGraceOnly, TestServerThatLeavesAfterAnOutageIsGoneAtOnce.

--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -18,7 +18,7 @@
 	occupancyMemory = 3 * time.Second
 	// reserveSpread is how many standard deviations of the higher tiers' occupancy are
 	// kept free for them.
-	reserveSpread = 1.0
+	reserveSpread = 0.35
 	// floorPart is the part of the slots that lower tiers may use whatever waits above them.
 	floorPart = 1.0 / 3
 	// hedgeFactor is at how many queues a waiting request is taken to stand.
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -9,6 +9,9 @@
 	// RegistrationGrace is how long after a store outage the entry of a live
 	// backend server may be missing (registration times of the platform).
 	RegistrationGrace = 2 * time.Second
+	// lapseWindow is how long after the end of an outage the removals that are read
+	// count as made during it.
+	lapseWindow = 200 * time.Millisecond
 	// massLapsePart is the part of a service's servers that, vanishing within one
 	// batch, means that registrations lapsed rather than that servers left.
 	massLapsePart = 0.5
@@ -18,7 +21,7 @@
 type Directory struct {
 	mu      sync.RWMutex
 	servers map[string]Server
-	// missing holds when the entry of a server that is kept for now vanished.
+	// missing holds until when a server is kept whose entry has vanished.
 	missing map[string]time.Time
 	// recovered is when the store answered again after its last outage.
 	recovered time.Time
@@ -39,22 +42,39 @@
 	delete(d.missing, s.ID)
 }
 
-// Remove takes the entries of servers out. Those that vanish around an outage of the
+// Remove takes the entries of servers out. Those that vanished during an outage of the
 // store are kept until RegistrationGrace after its end, as their registrations may
 // only have lapsed.
 func (d *Directory) Remove(ids []string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	lapsed := d.away || now.Sub(d.recovered) < RegistrationGrace || d.massLapse(ids)
+	d.expire(now)
+	var keepUntil time.Time
+	switch {
+	case d.away || now.Sub(d.recovered) < lapseWindow:
+		keepUntil = now.Add(RegistrationGrace)
+	case d.massLapse(ids):
+		keepUntil = now.Add(RegistrationGrace)
+	}
 	for _, id := range ids {
 		if _, known := d.servers[id]; !known {
 			continue
 		}
-		if lapsed {
-			d.missing[id] = now
+		if keepUntil.IsZero() {
+			delete(d.servers, id)
 			continue
 		}
-		delete(d.servers, id)
+		d.missing[id] = keepUntil
+	}
+}
+
+// expire drops the servers whose entries have not come back in time.
+func (d *Directory) expire(now time.Time) {
+	for id, until := range d.missing {
+		if now.After(until) {
+			delete(d.servers, id)
+			delete(d.missing, id)
+		}
 	}
 }
 
@@ -92,12 +112,7 @@
 		d.recovered = now
 	}
 	d.away, d.loaded = false, true
-	for id, since := range d.missing {
-		if now.Sub(since) > RegistrationGrace && now.Sub(d.recovered) > RegistrationGrace {
-			delete(d.servers, id)
-			delete(d.missing, id)
-		}
-	}
+	d.expire(now)
 }
 
 // Loaded reports whether the list was read at least once.
@@ -107,27 +122,28 @@
 	return d.loaded
 }
 
-// Get returns a registered server.
-func (d *Directory) Get(id string) (Server, bool) {
+// Usable reports whether an incarnation is registered and takes new requests.
+func (d *Directory) Usable(id string, now time.Time) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	s, ok := d.servers[id]
-	return s, ok
+	return ok && d.takes(s, now)
 }
 
-// Usable reports whether an incarnation is registered and not draining.
-func (d *Directory) Usable(id string) bool {
-	s, ok := d.Get(id)
-	return ok && s.State == StateReady
+// takes reports whether a server takes new requests: it isn't draining, and its entry
+// isn't missing for too long.
+func (d *Directory) takes(s Server, now time.Time) bool {
+	until, missing := d.missing[s.ID]
+	return s.State == StateReady && (!missing || now.Before(until))
 }
 
 // Ready returns the servers of a service that take new requests.
-func (d *Directory) Ready(service string) []Server {
+func (d *Directory) Ready(service string, now time.Time) []Server {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var list []Server
 	for _, s := range d.servers {
-		if s.Service == service && s.State == StateReady {
+		if s.Service == service && d.takes(s, now) {
 			list = append(list, s)
 		}
 	}
--- /dev/null
+++ b/internal/fleet/directory_test.go
@@ -0,0 +1,79 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
+)
+
+// start is any moment.
+var start = time.Unix(1_000_000, 0)
+
+func directoryOf(n int) *fleet.Directory {
+	d := fleet.NewDirectory()
+	for i := range n {
+		d.Put(fleet.Server{ID: id(i), Service: "engines", Address: "10.0.0.1:80"})
+	}
+	d.StoreAnswered(start)
+	return d
+}
+
+func id(i int) string { return fmt.Sprintf("server-%d", i) }
+
+func TestServerThatLeftIsGoneAtOnce(t *testing.T) {
+	c := qt.New(t)
+	d := directoryOf(4)
+	d.Remove([]string{id(0)}, start.Add(time.Minute))
+	c.Assert(d.Usable(id(0), start.Add(time.Minute)), qt.IsFalse)
+	c.Assert(d.Ready("engines", start.Add(time.Minute)), qt.HasLen, 3)
+}
+
+func TestDrainingServerTakesNothing(t *testing.T) {
+	c := qt.New(t)
+	d := directoryOf(2)
+	d.Put(fleet.Server{ID: id(0), Service: "engines", State: fleet.StateDraining})
+	c.Assert(d.Usable(id(0), start), qt.IsFalse)
+	c.Assert(d.Ready("engines", start), qt.HasLen, 1)
+}
+
+// An entry that vanished while the store was away is kept until the time in which
+// live servers are back, and no longer, whether or not the store is read again.
+func TestLapsedEntryIsKeptForTheGraceOnly(t *testing.T) {
+	c := qt.New(t)
+	d := directoryOf(4)
+	d.StoreLost()
+	back := start.Add(10 * time.Second)
+	d.StoreAnswered(back)
+	d.Remove([]string{id(0), id(1)}, back.Add(time.Millisecond))
+	c.Assert(d.Usable(id(0), back.Add(time.Second)), qt.IsTrue)
+	d.Put(fleet.Server{ID: id(1), Service: "engines"})
+	late := back.Add(fleet.RegistrationGrace + 10*time.Millisecond)
+	c.Assert(d.Usable(id(0), late), qt.IsFalse)
+	c.Assert(d.Usable(id(1), late), qt.IsTrue)
+}
+
+// A server that leaves soon after an outage, but not during it, is gone at once: its
+// entry was removed by itself, not by the outage.
+func TestServerThatLeavesAfterAnOutageIsGoneAtOnce(t *testing.T) {
+	c := qt.New(t)
+	d := directoryOf(4)
+	d.StoreLost()
+	back := start.Add(10 * time.Second)
+	d.StoreAnswered(back)
+	left := back.Add(370 * time.Millisecond)
+	d.Remove([]string{id(0)}, left)
+	c.Assert(d.Usable(id(0), left), qt.IsFalse)
+}
+
+func TestMostServersAtOnceAreALapse(t *testing.T) {
+	c := qt.New(t)
+	d := directoryOf(4)
+	now := start.Add(time.Minute)
+	d.Remove([]string{id(0), id(1), id(2)}, now)
+	c.Assert(d.Ready("engines", now.Add(time.Second)), qt.HasLen, 4)
+	c.Assert(d.Ready("engines", now.Add(3*time.Second)), qt.HasLen, 1)
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -31,7 +31,7 @@
 // place finds a backend server for a call, and waits for a slot where there are slots.
 func (g *Gateway) place(ctx context.Context, one *call, p *progress) (*placement, *Failure) {
 	now := time.Now()
-	list := g.servers.usable(g.options.Directory.Ready(one.service), p.tried, now)
+	list := g.servers.usable(g.options.Directory.Ready(one.service, now), p.tried, now)
 	if len(list) == 0 {
 		return nil, unavailable(KindNoServer, defaultRetryAfter, "the service has no backend server that can be tried")
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -158,5 +158,5 @@
 
 // stillUsable reports whether a backend server may get a request now.
 func (g *Gateway) stillUsable(server fleet.Server) bool {
-	return g.options.Directory.Usable(server.ID)
+	return g.options.Directory.Usable(server.ID, time.Now())
 }
