Let a cut entry keep to its part of a limit; tell refused callers to wait as long as the overload has lasted

Cause: an entry that heard no other took the whole limit (TestCutEntryKeepsToItsPart: 438,000 tokens in 8 s of 397,100 allowed); callers that came back into the same overload were refused again. Change: see title; late requests wait one objective (top tier) or half of one; up to 8 sidecars are asked.

--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -27,6 +27,14 @@
 	expectedRest = 0.5
 	// minOccupancy is the occupancy under which a tier counts as idle, in slots.
 	minOccupancy = 0.05
+	// overloadPause without a refusal ends an overload.
+	overloadPause = time.Second
+	// maxSlotRetryAfter bounds the time that a refused request is told to wait: callers
+	// of streams wait some seconds in all.
+	maxSlotRetryAfter = 3 * time.Second
+	// retrySpread is the part of that time by which returns are spread, in spreadSteps steps.
+	retrySpread = 0.25
+	spreadSteps = 17
 	// reportLag is how old an engine's own count may be when it is compared with the
 	// slots that are handed out: its report and requests on their way to it.
 	reportLag = 400 * time.Millisecond
@@ -59,8 +67,11 @@
 	held     recentMax
 	draining bool
 	arrivals uint64
-	speed    speed
-	failures mean
+	// overloadSince is the first refusal of the overload that lastRefusal was in.
+	overloadSince time.Time
+	lastRefusal   time.Time
+	speed         speed
+	failures      mean
 }
 
 // SlotTicket is a request's place in a SlotQueue, then its slot.
@@ -169,11 +180,11 @@
 	t := &SlotTicket{request: request, decided: make(chan struct{}), arrival: q.arrivals, queued: now}
 	switch {
 	case q.draining:
-		q.refuse(t, ReasonDraining)
+		q.refuse(now, t, ReasonDraining)
 	case len(q.waiting) >= maxSlotQueued:
-		q.refuse(t, ReasonShed)
+		q.refuse(now, t, ReasonShed)
 	case !q.inTime(now, t):
-		q.refuse(t, ReasonDeadline)
+		q.refuse(now, t, ReasonDeadline)
 	default:
 		t.state = stateQueued
 		q.waiting = append(q.waiting, t)
@@ -196,7 +207,7 @@
 	switch t.state {
 	case stateQueued:
 		q.remove(t)
-		q.refuse(t, ReasonBarred)
+		q.refuse(now, t, ReasonBarred)
 	case stateRunning:
 		q.free(now, t)
 		q.schedule(now)
@@ -231,15 +242,15 @@
 }
 
 // Drain refuses all waiting requests and all later ones. Slots that are held stay.
-func (q *SlotQueue) Drain() { q.RefuseAll(ReasonDraining, true) }
+func (q *SlotQueue) Drain(now time.Time) { q.RefuseAll(now, ReasonDraining, true) }
 
 // RefuseAll refuses all waiting requests, and with closed set all later ones.
-func (q *SlotQueue) RefuseAll(reason Reason, closed bool) {
+func (q *SlotQueue) RefuseAll(now time.Time, reason Reason, closed bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.draining = q.draining || closed
 	for _, t := range q.waiting {
-		q.refuse(t, reason)
+		q.refuse(now, t, reason)
 	}
 	q.waiting = nil
 }
@@ -282,7 +293,7 @@
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
 		if q.expired(now, t) {
-			q.refuse(t, ReasonDeadline)
+			q.refuse(now, t, ReasonDeadline)
 			continue
 		}
 		kept = append(kept, t)
@@ -471,20 +482,21 @@
 	}
 }
 
-func (q *SlotQueue) refuse(t *SlotTicket, reason Reason) {
+func (q *SlotQueue) refuse(now time.Time, t *SlotTicket, reason Reason) {
 	t.state = stateRefused
-	t.refusal = &RefusedError{Reason: reason, RetryAfter: q.retryAfter(t.request.Rank)}
+	t.refusal = &RefusedError{Reason: reason, RetryAfter: q.retryAfter(now, t)}
 	close(t.decided)
 }
 
-// retryAfter estimates when the tickets that wait now are served.
-func (q *SlotQueue) retryAfter(rank uint32) time.Duration {
-	ahead := 0
-	for _, t := range q.waiting {
-		if t.request.Rank <= rank {
-			ahead++
-		}
+// retryAfter returns when a refused request should come back. An overload that has
+// lasted for a while is expected to last about as long again; the arrival spreads the
+// returns, so that they don't come together.
+func (q *SlotQueue) retryAfter(now time.Time, t *SlotTicket) time.Duration {
+	if now.Sub(q.lastRefusal) > overloadPause {
+		q.overloadSince = now
 	}
-	perSlot := q.speed.service.value / float64(q.options.Slots)
-	return min(max(seconds(perSlot*float64(ahead)), minRetryAfter), maxRetryAfter)
+	q.lastRefusal = now
+	wait := min(max(now.Sub(q.overloadSince), minRetryAfter), maxSlotRetryAfter)
+	spread := 1 + retrySpread*(2*float64(t.arrival%spreadSteps)/(spreadSteps-1)-1)
+	return time.Duration(spread * float64(wait))
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -25,7 +25,7 @@
 // lateHoldObjectives is how long past their objectives requests may wait for a slot, in
 // objectives, by the rank of their route: those of the two highest ranks are short, and
 // a late answer is worth more to their callers than a refusal.
-var lateHoldObjectives = []float64{3, 2}
+var lateHoldObjectives = []float64{1, 0.5}
 
 // call is one request of a caller on its way.
 type call struct {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -20,6 +20,9 @@
 	hedgeAfter = 12 * time.Millisecond
 	// maxTickets bounds the sidecars at which a request waits at the same time.
 	maxTickets = 4
+	// maxAsks bounds the sidecars that are asked for one slot in all: one that refuses
+	// knows its own queue only.
+	maxAsks = 8
 )
 
 // placement is the backend server that a request goes to, and the slot it holds there.
@@ -67,7 +70,9 @@
 	results chan ticketResult
 	// open counts the tickets without a result.
 	open int
-	rest []candidate
+	// asked counts the sidecars that were asked.
+	asked int
+	rest  []candidate
 	// retryAfter is the shortest time that a sidecar named.
 	retryAfter time.Duration
 	reason     string
@@ -107,7 +112,7 @@
 // next places a ticket at the next candidate. An engine whose sidecar is silent gets
 // the request directly, within a bound; then next returns the placement.
 func (t *tickets) next() *placement {
-	for len(t.rest) > 0 && t.open < maxTickets {
+	for len(t.rest) > 0 && t.open < maxTickets && t.asked < maxAsks {
 		c := t.rest[0]
 		t.rest = t.rest[1:]
 		address := t.g.options.SlotAddress(c.server)
@@ -118,6 +123,7 @@
 			return t.direct(c.server)
 		}
 		t.open++
+		t.asked++
 		go t.ask(c.server, address)
 		return nil
 	}
@@ -157,7 +163,7 @@
 	case errors.As(result.err, &refused):
 		t.g.servers.sawLoad(result.server.ID, refused.Load)
 		t.reason = refused.Reason
-		if refused.Reason == admission.ReasonDeadline.String() {
+		if refused.Reason == admission.ReasonDeadline.String() && t.one.objectiveLeft() <= 0 {
 			// It is too late for the request, whichever engine is asked.
 			t.rest = nil
 		}
--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -90,6 +90,10 @@
 func (p *Pool) SetEntries(n int, quorate bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !quorate {
+		// The others are likely to serve on beyond this entry's sight.
+		n = max(n, p.entries)
+	}
 	p.entries, p.quorate = max(n, 1), quorate
 }
 
@@ -126,11 +130,15 @@
 	if a.level <= 0 {
 		return timeFor(-a.level+1, a.rate.PerSecond)
 	}
-	if p.entries == 1 || a.level > lowLevel*a.rate.Burst {
+	if p.entries == 1 || (p.quorate && a.level > lowLevel*a.rate.Burst) {
 		return 0
 	}
-	share := p.share(a, name, now)
-	mine := (max(a.levelThen, 0) + a.rate.PerSecond*now.Sub(a.heardAt).Seconds()) * min(1, share*shareMargin)
+	share, margin := p.share(a, name, now), shareMargin
+	if !p.quorate {
+		// What the others use now is not known: an equal part is safe.
+		share, margin = 1/float64(p.entries), 1
+	}
+	mine := (max(a.levelThen, 0) + a.rate.PerSecond*now.Sub(a.heardAt).Seconds()) * min(1, share*margin)
 	if a.since <= mine {
 		return 0
 	}
--- /dev/null
+++ b/internal/limit/pool_test.go
@@ -0,0 +1,172 @@
+package limit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/limit"
+)
+
+const (
+	// exchange is the time between two exchanges of the simulated entries.
+	exchange = 150 * time.Millisecond
+	// window and overshoot are how deployments check limits.
+	window    = 8 * time.Second
+	overshoot = 0.1
+	slack     = 110_000
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+// entries are pools that exchange with each other in virtual time.
+type entries struct {
+	pools []*limit.Pool
+	boots []string
+	// cut holds the entries that hear no other.
+	cut map[int]bool
+	// admitted holds the tokens admitted by time.
+	admitted []spent
+	random   *rand.Rand
+}
+
+type spent struct {
+	at     time.Time
+	tokens float64
+}
+
+func newEntries(n int, seed uint64) *entries {
+	e := &entries{cut: map[int]bool{}, random: rand.New(rand.NewPCG(seed, 0))}
+	for i := range n {
+		e.pools = append(e.pools, limit.NewPool())
+		e.boots = append(e.boots, fmt.Sprint("boot-", i))
+		e.pools[i].SetEntries(n, true)
+	}
+	return e
+}
+
+func (e *entries) exchangeAll(now time.Time) {
+	for i, from := range e.pools {
+		use := from.Report(now)
+		for j, to := range e.pools {
+			if i != j && !e.cut[i] && !e.cut[j] {
+				to.Hear(fmt.Sprint("entry-", i), e.boots[i], use, now)
+			}
+		}
+	}
+}
+
+// offer sends requests of an account at a rate in tokens for a while, spread unevenly
+// over the entries.
+func (e *entries) offer(rate limit.Rate, perSecond float64, from time.Time, length time.Duration) time.Time {
+	const size = 3000.0
+	step := time.Duration(size / perSecond * float64(time.Second))
+	next := from
+	for now := from; now.Before(from.Add(length)); now = now.Add(step) {
+		if !now.Before(next) {
+			e.exchangeAll(now)
+			next = now.Add(exchange)
+		}
+		at := min(int(e.random.ExpFloat64()*float64(len(e.pools))/2), len(e.pools)-1)
+		if err := e.pools[at].Admit("account", rate, size, now); err == nil {
+			e.admitted = append(e.admitted, spent{at: now, tokens: size})
+		}
+	}
+	return from.Add(length)
+}
+
+// between sums up what was admitted in a span.
+func (e *entries) between(from, to time.Time) float64 {
+	sum := 0.0
+	for _, one := range e.admitted {
+		if !one.at.Before(from) && one.at.Before(to) {
+			sum += one.tokens
+		}
+	}
+	return sum
+}
+
+// worstWindow returns the most that was admitted in any window.
+func (e *entries) worstWindow() float64 {
+	worst := 0.0
+	for _, one := range e.admitted {
+		worst = max(worst, e.between(one.at, one.at.Add(window)))
+	}
+	return worst
+}
+
+func allowed(rate limit.Rate) float64 {
+	return (rate.PerSecond*window.Seconds()+rate.Burst)*(1+overshoot) + slack
+}
+
+// A hot account that asks for ten times its limit gets what the limit allows: no
+// window has more, and hardly any less.
+func TestHotAccountGetsItsLimit(t *testing.T) {
+	for seed := range uint64(5) {
+		c := qt.New(t)
+		rate := limit.Rate{PerSecond: 29_000, Burst: 29_000}
+		e := newEntries(5, seed)
+		calm := e.offer(rate, 15_000, begin, 10*time.Second)
+		end := e.offer(rate, 290_000, calm, 20*time.Second)
+		c.Assert(e.worstWindow() <= allowed(rate), qt.IsTrue, qt.Commentf("seed %d: %v of %v", seed, e.worstWindow(), allowed(rate)))
+		got := e.between(calm, end)
+		c.Assert(got >= 0.95*rate.PerSecond*20, qt.IsTrue, qt.Commentf("seed %d: %v of %v", seed, got, rate.PerSecond*20))
+	}
+}
+
+// An account that stays under its limit is not refused, however its requests are spread.
+func TestAccountUnderItsLimitIsNotRefused(t *testing.T) {
+	for seed := range uint64(5) {
+		c := qt.New(t)
+		rate := limit.Rate{PerSecond: 60_000, Burst: 60_000}
+		e := newEntries(5, seed)
+		end := e.offer(rate, 45_000, begin.Add(10*time.Second), 20*time.Second)
+		got := e.between(begin, end)
+		c.Assert(got >= 0.99*45_000*20, qt.IsTrue, qt.Commentf("seed %d: %v", seed, got))
+	}
+}
+
+// An entry that hears no other keeps to a part of the limit.
+func TestCutEntryKeepsToItsPart(t *testing.T) {
+	c := qt.New(t)
+	rate := limit.Rate{PerSecond: 29_000, Burst: 29_000}
+	e := newEntries(5, 1)
+	now := e.offer(rate, 15_000, begin, 10*time.Second)
+	e.cut[0] = true
+	e.pools[0].SetEntries(1, false)
+	for _, pool := range e.pools[1:] {
+		pool.SetEntries(4, true)
+	}
+	e.offer(rate, 290_000, now, 16*time.Second)
+	c.Assert(e.worstWindow() <= allowed(rate), qt.IsTrue, qt.Commentf("%v of %v", e.worstWindow(), allowed(rate)))
+}
+
+// Entries that all start anew know nothing of what was used before.
+func TestRestartedEntriesKeepTheLimit(t *testing.T) {
+	c := qt.New(t)
+	rate := limit.Rate{PerSecond: 85_000, Burst: 85_000}
+	e := newEntries(5, 1)
+	now := e.offer(rate, 400_000, begin, 10*time.Second)
+	admitted := e.admitted
+	e = newEntries(5, 2)
+	e.admitted = admitted
+	e.offer(rate, 400_000, now, 10*time.Second)
+	c.Assert(e.worstWindow() <= allowed(rate), qt.IsTrue, qt.Commentf("%v of %v", e.worstWindow(), allowed(rate)))
+}
+
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	c := qt.New(t)
+	p := limit.NewPool()
+	rate := limit.Rate{PerSecond: 1000, Burst: 1000}
+	c.Assert(p.Admit("a", rate, 3000, begin), qt.IsNil)
+	err := p.Admit("a", rate, 10, begin)
+	var exceeded *limit.ExceededError
+	c.Assert(errors.As(err, &exceeded), qt.IsTrue)
+	c.Assert(exceeded.RetryAfter > 0, qt.IsTrue)
+	p.Refund("a", 3000)
+	c.Assert(p.Admit("a", rate, 10, begin), qt.IsNil)
+}
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -85,7 +85,7 @@
 		s.failures++
 		if s.failures == maxProbeFailures {
 			s.logger.Warn().Str("dependency", "engine").Err(err).Msg("dependency lost")
-			s.queue.RefuseAll(admission.ReasonUnhealthy, false)
+			s.queue.RefuseAll(time.Now(), admission.ReasonUnhealthy, false)
 		}
 		return
 	}
@@ -195,7 +195,7 @@
 
 // Drain refuses all waiting and later requests for slots.
 func (s *Server) Drain(context.Context) error {
-	s.queue.Drain()
+	s.queue.Drain(time.Now())
 	return nil
 }
 
