Make exchanges rarer and smaller in large rosters; read the store in longer waits

Change: an entry tells of itself only when there are more than six others, and rounds are rarer; reads of the store wait as long as the deployment's bounds allow.

--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -32,11 +32,14 @@
 const (
 	// memoryPart is the part of the machine's memory that the garbage collector keeps to.
 	memoryPart = 0.6
-	// configurationWait and serversWait are how long one read of the store waits for
-	// news: short against the bounds on key removal and on draining, which count from the
-	// start of the read that missed the news.
-	configurationWait = time.Second
-	serversWait       = 1500 * time.Millisecond
+	// configurationWaitPart and serversWaitPart are how long one read of the store waits
+	// for news, in parts of the bounds on configuration changes and on draining: a
+	// connection that went silent is found within the rest.
+	configurationWaitPart = 0.5
+	serversWaitPart       = 0.7
+	// serversPause follows news of backend servers, so that what changes together is
+	// read together.
+	serversPause = 150 * time.Millisecond
 	// membersWait is the same for the list of entries, which tell each other of changes.
 	membersWait = 20 * time.Second
 	// leaveAfter is how long an entry that was told to stop still takes new connections:
@@ -268,13 +271,16 @@
 	if err := e.listen(group, e.public, e.settings.Front); err != nil {
 		return err
 	}
-	follow := func(topic string, listener platform.Listener, wait time.Duration) runFunc {
-		return (&platform.Follower{Store: e.store, Topic: topic, Listener: listener, Logger: e.logger, Wait: wait}).Run
+	follow := func(topic string, listener platform.Listener, wait, pause time.Duration) runFunc {
+		return (&platform.Follower{Store: e.store, Topic: topic, Listener: listener, Logger: e.logger, Wait: wait, Pause: pause}).Run
 	}
+	bounds := e.settings.Bounds
+	configurationWait := time.Duration(configurationWaitPart * float64(bounds.ApplyWithin))
+	serversWait := time.Duration(serversWaitPart * float64(bounds.DrainWithin))
 	return e.run(ctx, group, groupCtx, stop, []runFunc{
-		follow(platform.TopicOperator, e.configuration, configurationWait),
-		follow(platform.TopicServers, e.servers, serversWait),
-		follow(platform.TopicEntries, &platform.MemberSource{Roster: e.roster, Logger: e.logger}, membersWait),
+		follow(platform.TopicOperator, e.configuration, configurationWait, 0),
+		follow(platform.TopicServers, e.servers, serversWait, serversPause),
+		follow(platform.TopicEntries, &platform.MemberSource{Roster: e.roster, Logger: e.logger}, membersWait, time.Second),
 		e.register, e.roster.Run, e.gateway.Run, e.upstream.Run,
 	}, e.leave)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sort"
 	"sync"
 	"time"
 
@@ -25,10 +26,15 @@
 	callTimeout = 400 * time.Millisecond
 	// fanout bounds the entries that are called in one round.
 	fanout = 4
-	// smallRoster is the number of entries up to which each pair exchanges in every round.
-	smallRoster = 6
-	// aliveFor is how long an entry counts as alive after it was heard.
+	// smallRoster is the number of other entries up to which each pair exchanges in every
+	// round and tells on what it heard of others. In a larger one each entry tells of itself
+	// only, and rounds are rarer, so that small machines and links can bear it.
+	smallRoster  = 6
+	largePeriods = 2
+	// aliveFor is how long an entry counts as alive after it was heard, at least.
 	aliveFor = 1500 * time.Millisecond
+	// aliveRounds is the same in times that it takes to call all entries once.
+	aliveRounds = 2
 	// knownFor is how long an entry counts as part of the whole after it was heard.
 	knownFor = 20 * time.Second
 	// relayFor is how old news of another entry may be to be told on.
@@ -120,11 +126,13 @@
 // count returns the number of entries that are alive, and whether they are most of
 // those known; this one included.
 func (r *Roster) count(now time.Time) (alive int, quorate bool) {
+	known := 1
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	alive, known := 1, 1
+	alive = 1
+	within := r.aliveWithin()
 	for _, m := range r.members {
-		if now.Sub(m.heard) < aliveFor {
+		if now.Sub(m.heard) < within {
 			alive++
 		}
 		if now.Sub(m.heard) < knownFor {
@@ -134,6 +142,14 @@
 	return alive, 2*alive > known
 }
 
+// aliveWithin returns how long an entry counts as alive after it was heard.
+func (r *Roster) aliveWithin() time.Duration {
+	if len(r.members) <= smallRoster {
+		return aliveFor
+	}
+	return max(aliveFor, time.Duration(aliveRounds*len(r.members)/fanout)*largePeriods*period)
+}
+
 // Run exchanges with the other entries until ctx is done.
 func (r *Roster) Run(ctx context.Context) error {
 	for {
@@ -153,7 +169,13 @@
 
 // pause spreads the rounds, so that entries that start together don't call in step.
 func (r *Roster) pause() time.Duration {
-	return time.Duration((0.8 + 0.4*rand.Float64()) * float64(period))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	mean := period
+	if len(r.members) > smallRoster {
+		mean *= largePeriods
+	}
+	return time.Duration((0.8 + 0.4*rand.Float64()) * float64(mean))
 }
 
 // choose returns the entries to call in this round and marks them. Of each pair the
@@ -167,12 +189,12 @@
 		silent := now.Sub(m.heard)
 		switch {
 		case m.calling:
-		case silent > aliveFor && now.Sub(m.called) < silentPeriod:
-		case stale, r.options.ID < m.id, silent > 3*period, len(r.members) >= smallRoster:
+		case silent > r.aliveWithin() && now.Sub(m.called) < silentPeriod:
+		case stale, r.options.ID < m.id, silent > 3*period, len(r.members) > smallRoster:
 			due = append(due, m)
 		}
 	}
-	rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	sort.Slice(due, func(i, j int) bool { return due[i].heard.Before(due[j].heard) })
 	due = due[:min(len(due), fanout)]
 	for _, m := range due {
 		m.calling, m.called = true, now
@@ -271,6 +293,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.members) > smallRoster {
+		return told
+	}
 	for _, m := range r.members {
 		if age := now.Sub(m.heard); age < relayFor {
 			told.Uses = append(told.Uses, entryUse{ID: m.id, Address: m.address, Boot: m.boot, AgeMS: age.Milliseconds(), Accounts: m.accounts})
