Test the path on the platform; keep the lowest tier's floor from passing the top tier

Cause: with one or two slots the floor of a lower tier was one slot, and a request of it went before a later one of the top tier (TestHigherTierGetsTheNextSlot failed first).

--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -399,7 +399,7 @@
 	if rank == topRank {
 		return 0
 	}
-	return max(int(floorPart*float64(q.options.Slots)), 1)
+	return int(floorPart * float64(q.options.Slots))
 }
 
 // slotsFor returns the slots that a tier and those below it may use together: what
@@ -413,7 +413,7 @@
 		return q.options.Slots
 	}
 	reserve := int(math.Round(above + reserveSpread*math.Sqrt(above)))
-	return max(q.options.Slots-reserve, q.floor(rank))
+	return max(q.options.Slots-reserve, q.floor(rank), 1)
 }
 
 // fits reports whether a ticket may run beside what runs already.
--- /dev/null
+++ b/internal/admission/slotqueue_load_test.go
@@ -0,0 +1,269 @@
+package admission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lagoonlane/lagoonlane/internal/admission"
+)
+
+// The engines of these tests run a fixed number of requests at a time; a request
+// holds its slot for its prompt and then for each of its output tokens.
+const (
+	simSlots     = 6
+	simTokenTime = 5 * time.Millisecond
+	// simPromptRate is the prompt tokens that an engine reads in a second.
+	simPromptRate = 40_000.0
+	// simTickets is at how many queues a request waits.
+	simTickets = 4
+	// protectedGap is how much less often a higher tier may be served than a lower one.
+	protectedGap = 0.05
+)
+
+// class is a kind of request.
+type class struct {
+	rank      uint32
+	perSecond float64
+	prompt    int
+	output    float64
+	objective time.Duration
+	deadline  time.Duration
+	lateHold  time.Duration
+	// burst multiplies the rate between burstFrom and burstTo.
+	burst float64
+}
+
+// The classes follow the mix that entries see: short answers to long prompts at the
+// top, long answers at the bottom.
+func mix(load float64) []class {
+	return []class{
+		{rank: 0, perSecond: 21 * load, prompt: 2890, output: 52, objective: 600 * time.Millisecond, deadline: 6 * time.Second, lateHold: 600 * time.Millisecond},
+		{rank: 1, perSecond: 14 * load, prompt: 1800, output: 23, objective: 500 * time.Millisecond, deadline: 4 * time.Second, lateHold: 250 * time.Millisecond},
+		{rank: 2, perSecond: 18 * load, prompt: 543, output: 280, objective: 400 * time.Millisecond, deadline: 15 * time.Second},
+	}
+}
+
+const (
+	simLength = 30 * time.Second
+	burstFrom = 10 * time.Second
+	burstTo   = 15 * time.Second
+)
+
+// result counts the requests of a class.
+type result struct{ asked, onTime, late, refused int }
+
+func (r result) share() float64 { return float64(r.onTime) / float64(max(r.asked, 1)) }
+
+// sim is a number of queues in virtual time.
+type sim struct {
+	random  *rand.Rand
+	queues  []*admission.SlotQueue
+	slow    []float64
+	down    map[int]bool
+	now     time.Time
+	events  eventHeap
+	results []result
+}
+
+type simEvent struct {
+	at time.Time
+	n  int
+	do func()
+}
+
+type eventHeap []simEvent
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].n < h[j].n
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	heap.Push(&s.events, simEvent{at: s.now.Add(d), n: len(s.events), do: do})
+}
+
+// simRequest is one request and its places in the queues.
+type simRequest struct {
+	class   int
+	arrived time.Time
+	at      map[int]*admission.SlotTicket
+	left    int
+	done    bool
+	output  float64
+}
+
+func newSim(seed uint64, slow []float64) *sim {
+	s := &sim{random: rand.New(rand.NewPCG(seed, 1)), slow: slow, down: map[int]bool{}, now: time.Unix(1_000_000, 0)}
+	for range slow {
+		s.queues = append(s.queues, admission.NewSlotQueue(admission.SlotOptions{Slots: simSlots}))
+	}
+	return s
+}
+
+// run plays the classes and returns the result of each.
+func (s *sim) run(classes []class) []result {
+	s.results = make([]result, len(classes))
+	start := s.now
+	for i := range classes {
+		s.arrive(start, i, classes)
+	}
+	s.tick(start)
+	for s.events.Len() > 0 {
+		next := heap.Pop(&s.events).(simEvent)
+		s.now = next.at
+		next.do()
+	}
+	return s.results
+}
+
+func (s *sim) tick(start time.Time) {
+	for i, q := range s.queues {
+		if !s.down[i] {
+			q.Tick(s.now)
+		}
+	}
+	if s.now.Sub(start) < simLength+20*time.Second {
+		s.after(20*time.Millisecond, func() { s.tick(start) })
+	}
+}
+
+func (s *sim) arrive(start time.Time, i int, classes []class) {
+	rate := classes[i].perSecond
+	if since := s.now.Sub(start); classes[i].burst > 0 && since >= burstFrom && since < burstTo {
+		rate *= classes[i].burst
+	}
+	gap := time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
+	s.after(gap, func() {
+		if s.now.Sub(start) > simLength {
+			return
+		}
+		s.ask(i, classes[i])
+		s.arrive(start, i, classes)
+	})
+}
+
+// ask puts a request into the queues of some engines.
+func (s *sim) ask(i int, c class) {
+	r := &simRequest{class: i, arrived: s.now, at: map[int]*admission.SlotTicket{}, output: c.output * math.Exp(s.random.NormFloat64()-0.5)}
+	s.results[i].asked++
+	for _, e := range s.random.Perm(len(s.queues)) {
+		if s.down[e] || r.left >= simTickets || r.done {
+			continue
+		}
+		ticket := s.queues[e].Submit(s.now, admission.Request{
+			ID: fmt.Sprint(s.results[i].asked), Rank: c.rank, Deadline: s.now.Add(c.deadline), Objective: s.now.Add(c.objective),
+			LateHold: c.lateHold, PromptTokens: uint32(c.prompt), OutputTokens: uint32(c.output),
+		})
+		r.at[e], r.left = ticket, r.left+1
+		s.follow(r, e, ticket, c)
+	}
+}
+
+// follow looks at a ticket until it is decided.
+func (s *sim) follow(r *simRequest, e int, ticket *admission.SlotTicket, c class) {
+	select {
+	case <-ticket.Decided():
+	default:
+		if !r.done {
+			s.after(time.Millisecond, func() { s.follow(r, e, ticket, c) })
+		}
+		return
+	}
+	switch {
+	case ticket.Refusal() != nil:
+		if r.left--; r.left == 0 && !r.done {
+			r.done = true
+			s.results[r.class].refused++
+		}
+	case r.done:
+		s.queues[e].Withdraw(s.now, ticket)
+	default:
+		r.done = true
+		for other, t := range r.at {
+			if other != e {
+				s.queues[other].Withdraw(s.now, t)
+			}
+		}
+		s.serve(r, e, ticket, c)
+	}
+}
+
+func (s *sim) serve(r *simRequest, e int, ticket *admission.SlotTicket, c class) {
+	first := time.Duration(float64(c.prompt)/simPromptRate*s.slow[e]*float64(time.Second)) + simTokenTime
+	if s.now.Add(first).Sub(r.arrived) <= c.objective {
+		s.results[r.class].onTime++
+	} else {
+		s.results[r.class].late++
+	}
+	s.after(first+time.Duration(r.output*s.slow[e]*float64(simTokenTime)), func() {
+		s.queues[e].Finish(s.now, ticket, admission.Outcome{Sent: true, FirstToken: first})
+	})
+}
+
+// nine engines of unlike speed, as the deployments have them.
+var unlike = []float64{0.6, 1.7, 1.7, 0.6, 1.7, 1.7, 0.6, 1.7, 1.7}
+
+// checkProtected checks that no tier is served less often than a lower one.
+func checkProtected(c *qt.C, name string, results []result) {
+	c.Helper()
+	for i := 1; i < len(results); i++ {
+		c.Check(results[i-1].share() >= results[i].share()-protectedGap, qt.IsTrue, qt.Commentf("%s: tier %d %+v, tier %d %+v", name, i-1, results[i-1], i, results[i]))
+	}
+}
+
+// The load patterns of heavy days: whatever comes, higher tiers go first, and the
+// lowest one is not starved.
+func TestLoadPatterns(t *testing.T) {
+	burst := func(load, top, low float64) []class {
+		m := mix(load)
+		m[0].burst, m[2].burst = top, low
+		return m
+	}
+	for _, pattern := range []struct {
+		name    string
+		classes []class
+		slow    []float64
+		down    int
+		// top is the least part of the top tier that is answered on time.
+		top float64
+	}{
+		{name: "calm", classes: mix(0.6), slow: unlike, top: 0.95},
+		{name: "burst over capacity", classes: burst(1, 2, 2), slow: unlike, top: 0.9},
+		{name: "burst of the lowest class", classes: burst(1, 0, 4), slow: unlike, top: 0.9},
+		{name: "burst of the top class", classes: burst(1, 3, 0), slow: unlike, top: 0.7},
+		{name: "a third of the engines gone", classes: mix(1), slow: unlike, down: 3, top: 0.9},
+		{name: "slow engines only", classes: mix(0.8), slow: []float64{1.7, 1.7, 1.7, 1.7, 1.7, 1.7, 1.7, 1.7, 1.7}, top: 0.9},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(pattern.name, " ", seed), func(t *testing.T) {
+				c := qt.New(t)
+				s := newSim(seed, pattern.slow)
+				for i := range pattern.down {
+					s.down[i] = true
+				}
+				results := s.run(pattern.classes)
+				t.Logf("%+v", results)
+				c.Check(results[0].share() >= pattern.top, qt.IsTrue, qt.Commentf("top tier %+v", results[0]))
+				checkProtected(c, pattern.name, results)
+				low := results[len(results)-1]
+				c.Check(float64(low.onTime+low.late) >= 0.25*results[0].share()*float64(low.asked), qt.IsTrue, qt.Commentf("lowest tier %+v", low))
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/slotqueue_test.go
@@ -0,0 +1,98 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lagoonlane/lagoonlane/internal/admission"
+)
+
+var moment = time.Unix(1_000_000, 0)
+
+func slotRequest(rank uint32) admission.Request {
+	return admission.Request{Rank: rank, Deadline: moment.Add(5 * time.Second), Objective: moment.Add(500 * time.Millisecond), PromptTokens: 100, OutputTokens: 10}
+}
+
+func granted(t *admission.SlotTicket) bool {
+	select {
+	case <-t.Decided():
+		return t.Refusal() == nil
+	default:
+		return false
+	}
+}
+
+func TestHigherTierGetsTheNextSlot(t *testing.T) {
+	c := qt.New(t)
+	q := admission.NewSlotQueue(admission.SlotOptions{Slots: 1})
+	first := q.Submit(moment, slotRequest(0))
+	low, high := q.Submit(moment, slotRequest(2)), q.Submit(moment, slotRequest(0))
+	q.Finish(moment, first, admission.Outcome{Sent: true})
+	c.Assert(granted(high), qt.IsTrue)
+	c.Assert(granted(low), qt.IsFalse)
+}
+
+// Requests that took no slot here leave fewer slots to hand out, and those that did
+// are not counted twice while the engine's report lags.
+func TestReportOfOtherRequestsTakesSlots(t *testing.T) {
+	c := qt.New(t)
+	q := admission.NewSlotQueue(admission.SlotOptions{Slots: 2})
+	held := q.Submit(moment, slotRequest(0))
+	q.Report(moment, 1)
+	c.Assert(granted(q.Submit(moment, slotRequest(0))), qt.IsTrue)
+	q.Finish(moment, held, admission.Outcome{Sent: true})
+	q.Report(moment.Add(10*time.Millisecond), 2)
+	c.Assert(granted(q.Submit(moment.Add(20*time.Millisecond), slotRequest(0))), qt.IsTrue)
+
+	fresh := admission.NewSlotQueue(admission.SlotOptions{Slots: 2})
+	fresh.Report(moment, 2)
+	waiting := fresh.Submit(moment, slotRequest(0))
+	c.Assert(granted(waiting), qt.IsFalse)
+	fresh.Report(moment.Add(100*time.Millisecond), 0)
+	c.Assert(granted(waiting), qt.IsTrue)
+}
+
+func TestMemoryBoundsWhatRunsTogether(t *testing.T) {
+	c := qt.New(t)
+	q := admission.NewSlotQueue(admission.SlotOptions{Slots: 4, MemoryTokens: 200})
+	first := q.Submit(moment, slotRequest(0))
+	second := q.Submit(moment, slotRequest(0))
+	c.Assert(granted(first), qt.IsTrue)
+	c.Assert(granted(second), qt.IsFalse)
+	q.Finish(moment, first, admission.Outcome{Sent: true})
+	c.Assert(granted(second), qt.IsTrue)
+}
+
+// A request that waited past its objective, and may not wait longer, is refused with
+// a time to come back.
+func TestLateRequestIsRefused(t *testing.T) {
+	c := qt.New(t)
+	q := admission.NewSlotQueue(admission.SlotOptions{Slots: 1})
+	q.Submit(moment, slotRequest(0))
+	late := q.Submit(moment, slotRequest(0))
+	q.Tick(moment.Add(time.Second))
+	<-late.Decided()
+	c.Assert(late.Refusal().Reason, qt.Equals, admission.ReasonDeadline)
+	c.Assert(late.Refusal().RetryAfter > 0, qt.IsTrue)
+}
+
+// The time to come back grows with the overload, up to a bound, and differs between
+// callers, so that they don't return together.
+func TestRetryAfterGrowsWithTheOverload(t *testing.T) {
+	c := qt.New(t)
+	q := admission.NewSlotQueue(admission.SlotOptions{Slots: 1})
+	q.RefuseAll(moment, admission.ReasonUnhealthy, true)
+	at := func(d time.Duration) time.Duration {
+		return q.Submit(moment.Add(d), slotRequest(0)).Refusal().RetryAfter
+	}
+	start := at(0)
+	seen := map[time.Duration]bool{}
+	for i := range 20 {
+		seen[at(time.Duration(i+1)*100*time.Millisecond)] = true
+	}
+	c.Assert(at(2100*time.Millisecond) > 2*start, qt.IsTrue)
+	c.Assert(len(seen) > 10, qt.IsTrue)
+	c.Assert(at(2900*time.Millisecond) < 4*time.Second, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,409 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/gateway"
+	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/slots"
+	"github.com/lagoonlane/lagoonlane/internal/steady"
+	"github.com/lagoonlane/lagoonlane/internal/transport"
+	"github.com/lagoonlane/lagoonlane/internal/upstream"
+)
+
+// codec is a codec with short names.
+type codec struct{}
+
+func (codec) DecodeRequest(h http.Header) (gateway.RequestInfo, error) {
+	info := gateway.RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last-Event-Id")}
+	if ms, err := strconv.Atoi(h.Get("Patience")); err == nil {
+		info.Patience, info.HasPatience = time.Duration(ms)*time.Millisecond, true
+	}
+	return info, nil
+}
+
+func (codec) EncodeDispatch(caller http.Header, d gateway.Dispatch) http.Header {
+	h := http.Header{}
+	h.Set("Id", caller.Get("Id"))
+	h.Set("Remaining", strconv.FormatInt(d.Remaining.Milliseconds(), 10))
+	if d.LastEventID != "" {
+		h.Set("Last-Event-Id", d.LastEventID)
+	}
+	return h
+}
+
+func (codec) DecodeAnswer(h http.Header) gateway.AnswerInfo {
+	return gateway.AnswerInfo{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Stamped: h.Get("Stamp") != "", Encoded: h.Get("Content-Encoding") != ""}
+}
+
+func (codec) EncodeAnswer(h http.Header) http.Header {
+	kept := h.Clone()
+	kept.Del("Transfer-Encoding")
+	kept.Del("Content-Length")
+	return kept
+}
+
+func (codec) EncodeRefusal(http.Header, string) {}
+
+// world is an entry before plain backend servers.
+type world struct {
+	c       *qt.C
+	front   *httptest.Server
+	holder  *fleet.Holder
+	gateway *gateway.Gateway
+	dir     *fleet.Directory
+	age     time.Duration
+}
+
+// serve answers one connection of a backend server, from its request on.
+type serve func(request *http.Request, conn net.Conn)
+
+func newWorld(t *testing.T, servers ...serve) *world { return newAgedWorld(t, 0, servers...) }
+
+// newAgedWorld returns a world whose configuration was confirmed some time ago.
+func newAgedWorld(t *testing.T, age time.Duration, servers ...serve) *world {
+	c := qt.New(t)
+	w := &world{c: c, age: age, holder: &fleet.Holder{}, dir: fleet.NewDirectory()}
+	for i, s := range servers {
+		w.dir.Put(fleet.Server{ID: fmt.Sprint("server-", i), Service: "plain", Address: backend(t, s), Slots: 4})
+	}
+	w.dir.StoreAnswered(time.Now())
+	w.manifest(1, "key")
+	client := upstream.New(upstream.Options{IDOf: func(h http.Header) string { return h.Get("Id") }})
+	t.Cleanup(client.CloseIdle)
+	var err error
+	w.gateway, err = gateway.New(gateway.Options{
+		Codec: codec{}, Manifest: w.holder, Directory: w.dir, Upstream: client,
+		Slots: slots.NewClient(transport.NewClient("", nil)), SlotAddress: func(fleet.Server) string { return "" },
+		Entries: func() int { return 1 }, Limits: limit.NewPool(),
+		Bounds: gateway.Bounds{
+			ApplyWithin: 2 * time.Second, RevokeWithin: 5 * time.Second,
+			Retries: gateway.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+		},
+		Logger: zerolog.Nop(),
+	})
+	c.Assert(err, qt.IsNil)
+	w.front = httptest.NewServer(w.gateway)
+	t.Cleanup(w.front.Close)
+	return w
+}
+
+// manifest puts a version in force in which one key is known.
+func (w *world) manifest(version int64, key string) {
+	route := func(name string, kind fleet.RouteKind, resumable bool, timeout time.Duration) *fleet.Route {
+		return &fleet.Route{
+			Name: name, Host: "127.0.0.1", PathPrefix: "/" + name + "/", Kind: kind, Resumable: resumable, Timeout: timeout,
+			Objective: 300 * time.Millisecond, MaxServers: 2, Shares: []fleet.Share{{Service: "plain", Weight: 1}},
+		}
+	}
+	m, err := fleet.NewManifest(version, []*fleet.Route{
+		route("safe", fleet.KindSafe, false, 2*time.Second),
+		route("unsafe", fleet.KindUnsafe, false, 2*time.Second),
+		route("stream", fleet.KindStreaming, false, 2*time.Second),
+		route("resumable", fleet.KindStreaming, true, 2*time.Second),
+		route("short", fleet.KindUnsafe, false, 200*time.Millisecond),
+	}, []*fleet.Service{{Name: "plain"}}, []fleet.AccountSpec{{Account: fleet.Account{Name: "a"}, Keys: []string{key}}}, fleet.ClientLimits{MaxBodyBytes: 1 << 16})
+	w.c.Assert(err, qt.IsNil)
+	w.holder.Set(m)
+	w.holder.Confirm(steady.Now().Add(-w.age))
+}
+
+// backend listens on loopback and reads one request after the other.
+func backend(t *testing.T, s serve) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, request.Body); err != nil {
+						return
+					}
+					s(request, conn)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// whole answers with a body.
+func whole(status int, body string, headers ...string) serve {
+	return func(request *http.Request, conn net.Conn) {
+		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\nStamp: s\r\n%sContent-Length: %d\r\n\r\n%s",
+			status, request.Header.Get("Id"), strings.Join(headers, ""), len(body), body)
+	}
+}
+
+var requestNumber atomic.Int64
+
+func (w *world) call(method, path string, body string) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, w.front.URL+path, strings.NewReader(body))
+	w.c.Assert(err, qt.IsNil)
+	request.Header.Set("Id", fmt.Sprint("r", requestNumber.Add(1)))
+	request.Header.Set("Key", "key")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response, string(data), err
+}
+
+func TestAnswerIsPassedOnWhole(t *testing.T) {
+	w := newWorld(t, whole(200, "hello"))
+	response, body, err := w.call("POST", "/unsafe/x", "payload")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, 200)
+	w.c.Assert(body, qt.Equals, "hello")
+	w.c.Assert(response.Header.Get("Stamp"), qt.Equals, "s")
+}
+
+// The end of a connection tells nothing of a request that was sent: it may have run,
+// so it is neither repeated nor refused.
+func TestUnsafeRequestRunsOnce(t *testing.T) {
+	var runs atomic.Int64
+	cut := func(_ *http.Request, conn net.Conn) { runs.Add(1); conn.Close() }
+	w := newWorld(t, cut, cut, cut)
+	response, _, err := w.call("POST", "/unsafe/x", "payload")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+	w.c.Assert(runs.Load(), qt.Equals, int64(1))
+}
+
+func TestSafeRequestIsRepeatedElsewhere(t *testing.T) {
+	var runs atomic.Int64
+	w := newWorld(t, func(request *http.Request, conn net.Conn) {
+		if runs.Add(1) == 1 {
+			conn.Close()
+			return
+		}
+		whole(200, "second")(request, conn)
+	}, func(request *http.Request, conn net.Conn) {
+		if runs.Add(1) == 1 {
+			conn.Close()
+			return
+		}
+		whole(200, "second")(request, conn)
+	})
+	response, body, err := w.call("GET", "/safe/x", "")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, 200)
+	w.c.Assert(body, qt.Equals, "second")
+	w.c.Assert(runs.Load(), qt.Equals, int64(2))
+}
+
+func TestRejectionIsATrueRefusal(t *testing.T) {
+	w := newWorld(t, whole(503, "", "Not-Run: 1\r\n"))
+	response, _, err := w.call("POST", "/unsafe/x", "payload")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	w.c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+}
+
+// A refusal that doesn't say that the request hasn't run may be of one that has.
+func TestRefusalWithoutPromiseIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		w := newWorld(t, whole(status, "busy"))
+		response, _, err := w.call("POST", "/unsafe/x", "payload")
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+	}
+}
+
+func TestOwnFailureOfTheServerIsPassedOn(t *testing.T) {
+	w := newWorld(t, whole(500, "broken"))
+	response, body, err := w.call("POST", "/unsafe/x", "payload")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, 500)
+	w.c.Assert(body, qt.Equals, "broken")
+}
+
+// Answers without the server's signature, with another's id or an encoding are not
+// the answer to the request.
+func TestForeignAnswersAreNotPassedOn(t *testing.T) {
+	for _, head := range []string{"Id: %s\r\n", "Id: %s\r\nStamp: s\r\nContent-Encoding: gzip\r\n"} {
+		w := newWorld(t, func(request *http.Request, conn net.Conn) {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n"+head+"Content-Length: 1\r\n\r\nx", request.Header.Get("Id"))
+		})
+		response, _, err := w.call("POST", "/unsafe/x", "payload")
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway, qt.Commentf("%s", head))
+	}
+}
+
+// A late second answer on a kept connection belongs to the request before.
+func TestLateSecondAnswerIsPassedOver(t *testing.T) {
+	var mu sync.Mutex
+	last := ""
+	w := newWorld(t, func(request *http.Request, conn net.Conn) {
+		mu.Lock()
+		defer mu.Unlock()
+		if last != "" {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Length: 5\r\n\r\nstale", last)
+		}
+		last = request.Header.Get("Id")
+		whole(200, "fresh")(request, conn)
+	})
+	for range 3 {
+		_, body, err := w.call("GET", "/safe/x", "")
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(body, qt.Equals, "fresh")
+	}
+}
+
+func TestCutBodyIsNoAnswer(t *testing.T) {
+	w := newWorld(t, func(request *http.Request, conn net.Conn) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Length: 10\r\n\r\nhalf", request.Header.Get("Id"))
+		conn.Close()
+	})
+	response, _, err := w.call("POST", "/unsafe/x", "payload")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+}
+
+// events writes the events of a stream, chunked, from one on; the connection is cut
+// after the last one, in the middle of the next, if cut is set.
+func events(request *http.Request, conn net.Conn, from, to int, cut bool) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"), from)
+	chunk := func(text string) { fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text) }
+	for i := from; i <= to; i++ {
+		chunk(fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i))
+	}
+	if cut {
+		chunk(fmt.Sprintf("id: %d\nda", to+1))
+		conn.Close()
+		return
+	}
+	fmt.Fprint(conn, "0\r\n\r\n")
+}
+
+const threeEvents = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+
+func TestBrokenStreamGoesOnElsewhereInOrder(t *testing.T) {
+	var calls atomic.Int64
+	s := func(request *http.Request, conn net.Conn) {
+		if calls.Add(1) == 1 {
+			events(request, conn, 1, 2, true)
+			return
+		}
+		last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+		events(request, conn, last+1, 3, false)
+	}
+	w := newWorld(t, s, s)
+	response, body, err := w.call("POST", "/resumable/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(body, qt.Equals, threeEvents)
+	w.c.Assert(response.Header.Get("Stamp"), qt.Equals, "s1")
+	w.c.Assert(calls.Load(), qt.Equals, int64(2))
+}
+
+func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
+	var calls atomic.Int64
+	s := func(request *http.Request, conn net.Conn) {
+		calls.Add(1)
+		events(request, conn, 1, 2, true)
+	}
+	w := newWorld(t, s, s)
+	_, _, err := w.call("POST", "/stream/x", "p")
+	w.c.Assert(err, qt.Not(qt.IsNil))
+	w.c.Assert(calls.Load(), qt.Equals, int64(1))
+}
+
+func TestTimeoutIsAnsweredAtOnce(t *testing.T) {
+	w := newWorld(t, func(*http.Request, net.Conn) { time.Sleep(2 * time.Second) })
+	asked := time.Now()
+	response, _, err := w.call("POST", "/short/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+	w.c.Assert(time.Since(asked) < 700*time.Millisecond, qt.IsTrue)
+}
+
+// When a caller leaves, the connection to the backend server is closed, so that it
+// stops the request.
+func TestCallerThatLeavesStopsItsRequest(t *testing.T) {
+	closed, begun := make(chan struct{}), make(chan struct{})
+	w := newWorld(t, func(_ *http.Request, conn net.Conn) {
+		close(begun)
+		var one [1]byte
+		if _, err := conn.Read(one[:]); err != nil {
+			close(closed)
+		}
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, "GET", w.front.URL+"/safe/x", nil)
+	w.c.Assert(err, qt.IsNil)
+	request.Header.Set("Id", "leaver")
+	request.Header.Set("Key", "key")
+	go func() { _, _ = http.DefaultClient.Do(request) }()
+	<-begun
+	leave()
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection to the backend server is open 2 s after the caller left")
+	}
+}
+
+func TestRemovedKeyIsRefused(t *testing.T) {
+	w := newWorld(t, whole(200, "x"))
+	w.manifest(2, "other")
+	response, _, err := w.call("GET", "/safe/x", "")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusUnauthorized)
+}
+
+// An entry that may have missed the removal of a key serves no keys, and sends its
+// callers elsewhere.
+func TestOutdatedConfigurationServesNoKeys(t *testing.T) {
+	var runs atomic.Int64
+	w := newAgedWorld(t, 6*time.Second, func(request *http.Request, conn net.Conn) { runs.Add(1); whole(200, "x")(request, conn) })
+	w.c.Assert(w.gateway.Ready(), qt.IsFalse)
+	response, _, err := w.call("GET", "/safe/x", "")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	w.c.Assert(runs.Load(), qt.Equals, int64(0))
+}
+
+func TestBadRequestsAreTypedProblems(t *testing.T) {
+	w := newWorld(t, whole(200, "x"))
+	for path, want := range map[string]int{"/nowhere/x": http.StatusNotFound, "/safe": http.StatusNotFound} {
+		response, body, err := w.call("GET", path, "")
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(response.StatusCode, qt.Equals, want)
+		w.c.Assert(body, qt.Contains, `"outcome":"not-run"`)
+	}
+	response, _, err := w.call("POST", "/unsafe/x", strings.Repeat("x", 1<<17))
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+}
--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -19,8 +19,6 @@
 	shareMargin = 1.5
 	// lowLevel is the part of the burst below which an entry keeps to its share.
 	lowLevel = 0.5
-	// demandMemory is the time constant of a demand's decay.
-	demandMemory = 2 * time.Second
 	// longestRetryAfter bounds what a caller over its limit is told to wait.
 	longestRetryAfter = 5 * time.Second
 )
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,110 @@
+package roster_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/roster"
+	"github.com/lagoonlane/lagoonlane/internal/steady"
+	"github.com/lagoonlane/lagoonlane/internal/transport"
+)
+
+// entry is one entry's roster on a loopback port.
+type entry struct {
+	*roster.Roster
+	address string
+	pool    *limit.Pool
+
+	mu            sync.Mutex
+	configuration roster.Configuration
+}
+
+func (e *entry) current() roster.Configuration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.configuration
+}
+
+func newEntry(t *testing.T, id string, configuration roster.Configuration) *entry {
+	e := &entry{configuration: configuration, pool: limit.NewPool()}
+	mux := http.NewServeMux()
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = transport.NewInternalServer(mux)
+	server.Start()
+	t.Cleanup(server.Close)
+	client := transport.NewClient("", nil)
+	t.Cleanup(client.CloseIdleConnections)
+	e.address = server.Listener.Addr().String()
+	e.Roster = roster.New(roster.Options{
+		ID: id, Address: e.address, Boot: id, Client: client, Pool: e.pool, Logger: zerolog.Nop(),
+		Configuration: e.current,
+		Offer: func(raw []byte) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.configuration.Raw, e.configuration.Version = raw, int64(len(raw))
+		},
+		Confirm: func(version int64, at time.Time) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if version == e.configuration.Version && at.After(e.configuration.Confirmed) {
+				e.configuration.Confirmed = at
+			}
+		},
+	})
+	e.Register(mux)
+	return e
+}
+
+func eventually(c *qt.C, what string, ok func() bool) {
+	c.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	c.Fatalf("not within 10 s: %s", what)
+}
+
+// An entry that is cut off from the store takes the configuration, and how recent it
+// is, from another; entries learn of each other through a third; use is told on.
+func TestEntriesTellEachOther(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	newest := roster.Configuration{Version: 3, Raw: []byte("abc"), Confirmed: steady.Now()}
+	entries := []*entry{newEntry(t, "a", newest), newEntry(t, "b", roster.Configuration{Version: 1, Raw: []byte("a")}), newEntry(t, "c", roster.Configuration{})}
+	for _, e := range entries[1:] {
+		e.Learn("a", entries[0].address)
+	}
+	rate := limit.Rate{PerSecond: 1000, Burst: 1000}
+	for _, e := range entries {
+		// Each entry knows an account once it has had a request of it.
+		c.Assert(e.pool.Admit("account", rate, 1, time.Now()), qt.IsNil)
+	}
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	for _, e := range entries {
+		running.Go(func() { _ = e.Run(ctx) })
+	}
+	for i, e := range entries {
+		eventually(c, fmt.Sprint("entry ", i, " knows all"), func() bool { return e.Entries() == 3 })
+		eventually(c, fmt.Sprint("entry ", i, " has the newest configuration"), func() bool {
+			now := e.current()
+			return now.Version == 3 && string(now.Raw) == "abc" && steady.Since(now.Confirmed) < 20*time.Second
+		})
+	}
+	c.Assert(entries[0].pool.Admit("account", rate, 5000, time.Now()), qt.IsNil)
+	eventually(c, "the others know what was spent", func() bool {
+		return entries[1].pool.Admit("account", rate, 1, time.Now()) != nil && entries[2].pool.Admit("account", rate, 1, time.Now()) != nil
+	})
+}
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -10,3 +10,11 @@
 fi
 go vet "$@"
 go tool staticcheck "$@"
+# The users' platform is spoken in platform/ only: its names appear nowhere else.
+names=$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^platform/' |
+  xargs -r grep -nE '"(Lagoonlane-|Kv-From|Kv-Fetch|keyed\.|/lagoonlane/)|LAGOONLANE_NODE_FILE' || true)
+if [ -n "$names" ]; then
+  echo "names of the users' platform outside platform/:"
+  echo "$names"
+  exit 1
+fi
