Let a later start take its address, leave replaced servers at once, prefer engines of the own data centre

Change: a registration that was born later at an address replaces the earlier one; a server that answers 421 gets nothing for 5 s; 421 no longer counts as a rejection by a full server. Engines of the own data centre are preferred by 30 ms. Tests: TestLaterStartTakesTheAddress, TestReplacedServerIsLeft.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -34,10 +34,24 @@
 	return &Directory{servers: map[string]Server{}, missing: map[string]time.Time{}}
 }
 
-// Put registers a server or changes its entry.
+// Put registers a server or changes its entry. One that started later at the same
+// address has taken its place.
 func (d *Directory) Put(s Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for id, other := range d.servers {
+		if id == s.ID || other.Address != s.Address {
+			continue
+		}
+		if other.Born.After(s.Born) {
+			// The address belongs to a later start already.
+			return
+		}
+		if s.Born.After(other.Born) {
+			delete(d.servers, id)
+			delete(d.missing, id)
+		}
+	}
 	d.servers[s.ID] = s
 	delete(d.missing, s.ID)
 }
--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -77,3 +77,16 @@
 	c.Assert(d.Ready("engines", now.Add(time.Second)), qt.HasLen, 4)
 	c.Assert(d.Ready("engines", now.Add(3*time.Second)), qt.HasLen, 1)
 }
+
+// Engines that all start again have new ids at their old addresses, while the entries
+// of their last start are still there.
+func TestLaterStartTakesTheAddress(t *testing.T) {
+	c := qt.New(t)
+	d := fleet.NewDirectory()
+	d.Put(fleet.Server{ID: "old", Service: "engines", Address: "10.0.0.1:80", Born: start})
+	d.Put(fleet.Server{ID: "new", Service: "engines", Address: "10.0.0.1:80", Born: start.Add(time.Second)})
+	c.Assert(d.Usable("old", start), qt.IsFalse)
+	d.Put(fleet.Server{ID: "old", Service: "engines", Address: "10.0.0.1:80", Born: start})
+	c.Assert(d.Usable("old", start), qt.IsFalse)
+	c.Assert(d.Usable("new", start), qt.IsTrue)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -95,7 +95,9 @@
 func (g *Gateway) judge(one *call, p *progress, answer *upstream.Answer, info AnswerInfo, sent time.Time) sendResult {
 	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
 	switch {
-	case info.NotRun || answer.Status == http.StatusMisdirectedRequest:
+	case answer.Status == http.StatusMisdirectedRequest:
+		return g.discard(answer, verdictReplaced, "another backend server has the address")
+	case info.NotRun:
 		return g.discard(answer, verdictRejected, "not run")
 	case success && (!info.Stamped || info.Encoded || info.RequestID != one.info.ID):
 		return g.discard(answer, verdictFailed, "not the backend server's own answer to this request")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,7 +77,7 @@
 		options: options,
 		logger:  options.Logger,
 		metrics: instruments,
-		servers: newServerTable(),
+		servers: newServerTable(options.DataCentre),
 		retries: newRetryBudget(options.Bounds.Retries),
 	}, nil
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -407,3 +407,16 @@
 	w.c.Assert(err, qt.IsNil)
 	w.c.Assert(response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
 }
+
+// An address that another backend server has taken is left at once, and the request
+// goes to the next one, also where nothing may be repeated.
+func TestReplacedServerIsLeft(t *testing.T) {
+	gone := whole(http.StatusMisdirectedRequest, "")
+	w := newWorld(t, gone, gone, gone, whole(200, "here"))
+	for range 4 {
+		response, body, err := w.call("POST", "/unsafe/x", "payload")
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(response.StatusCode, qt.Equals, 200)
+		w.c.Assert(body, qt.Equals, "here")
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// maxUnsent bounds the backend servers that could not be reached at all for one request.
+	// maxUnsent bounds the backend servers that could not be reached, or are no longer
+	// there, for one request.
 	maxUnsent = 4
 	// maxRejections bounds the backend servers that rejected one request without running it.
 	maxRejections = 2
@@ -53,6 +54,8 @@
 	verdictUnsent
 	// verdictRejected: the backend server says that it hasn't run the request.
 	verdictRejected
+	// verdictReplaced: another backend server has the address; it hasn't run the request.
+	verdictReplaced
 	// verdictFailed: the request may have run, and there is no whole answer.
 	verdictFailed
 )
@@ -65,6 +68,8 @@
 		return "unsent"
 	case verdictRejected:
 		return "rejected"
+	case verdictReplaced:
+		return "replaced"
 	}
 	return "failed"
 }
@@ -99,6 +104,9 @@
 	case verdictUnsent:
 		p.unsent++
 		return p.unsent < maxUnsent
+	case verdictReplaced:
+		p.unsent++
+		return p.unsent < maxUnsent && g.retries.take(one.service, g.options.Entries(), time.Now())
 	case verdictRejected:
 		p.rejections++
 		return p.rejections <= maxRejections && g.retries.take(one.service, g.options.Entries(), time.Now())
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -18,6 +18,9 @@
 	failureSmoothing = 0.2
 	// unreachableFor is how long a backend server that refused a connection gets no requests.
 	unreachableFor = 500 * time.Millisecond
+	// replacedFor is how long a backend server whose address another one has gets no
+	// requests: until its entry must be gone.
+	replacedFor = 5 * time.Second
 	// failingFor is how long a backend server that fails too often gets no requests.
 	failingFor = time.Second
 	// maxFailureRate is the part of failed requests from which on a server is passed over.
@@ -30,6 +33,9 @@
 	loadFresh = 200 * time.Millisecond
 	// maxDirect bounds the requests of this entry at an engine whose sidecar is silent.
 	maxDirect = 2
+	// crossPenalty, in seconds, makes an entry prefer engines of its own data centre
+	// unless others are expected to be faster by so much: traffic between data centres costs.
+	crossPenalty = 0.03
 	// minSharedPart is the part of a prompt that must be shared with other requests for
 	// the request to look for an engine that holds it.
 	minSharedPart = 0.25
@@ -60,11 +66,16 @@
 // serverTable holds what this entry knows of the backend servers beside their entries
 // in the directory. It is safe for concurrent use.
 type serverTable struct {
+	// dataCentre is that of this entry.
+	dataCentre string
+
 	mu    sync.Mutex
 	stats map[string]*serverStats
 }
 
-func newServerTable() *serverTable { return &serverTable{stats: map[string]*serverStats{}} }
+func newServerTable(dataCentre string) *serverTable {
+	return &serverTable{dataCentre: dataCentre, stats: map[string]*serverStats{}}
+}
 
 func (t *serverTable) get(id string) *serverStats {
 	s := t.stats[id]
@@ -115,6 +126,9 @@
 	case result.verdict == verdictUnsent:
 		s.shunnedUntil = now.Add(unreachableFor)
 		return
+	case result.verdict == verdictReplaced:
+		s.shunnedUntil = now.Add(replacedFor)
+		return
 	case result.verdict == verdictRejected:
 		return
 	case result.verdict == verdictFailed:
@@ -267,6 +281,9 @@
 		s := t.get(server.ID)
 		c := candidate{server: server, silent: now.Sub(s.sidecarSilent) < sidecarSilentFor}
 		c.wait, c.free = s.firstEventTime(server, one, now)
+		if server.Zone != t.dataCentre {
+			c.wait += crossPenalty
+		}
 		if affinity != "" {
 			if score := rendezvous(affinity, server.ID, s.speed()); score > homeScore {
 				home, homeScore = server.ID, score
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -75,12 +75,14 @@
 
 // member is what is known of another entry.
 type member struct {
-	id       string
-	address  string
-	boot     string
-	heard    time.Time
-	called   time.Time
-	calling  bool
+	id      string
+	address string
+	boot    string
+	heard   time.Time
+	called  time.Time
+	calling bool
+	// lost says that the last call failed.
+	lost     bool
 	accounts map[string]limit.Use
 }
 
@@ -209,12 +211,17 @@
 	answer, err := r.exchange(ctx, m.address)
 	r.mu.Lock()
 	m.calling = false
-	lost := err != nil && !m.heard.IsZero() && asked.Sub(m.heard) < aliveFor
+	changed := m.lost != (err != nil)
+	m.lost = err != nil
 	r.mu.Unlock()
+	switch {
+	case !changed || ctx.Err() == context.Canceled:
+	case err != nil:
+		r.options.Logger.Info().Str("dependency", "entry").Str("peer", m.id).Err(err).Msg("dependency lost")
+	default:
+		r.options.Logger.Info().Str("dependency", "entry").Str("peer", m.id).Msg("dependency regained")
+	}
 	if err != nil {
-		if lost && ctx.Err() == nil {
-			r.options.Logger.Info().Str("dependency", "entry").Str("peer", m.id).Err(err).Msg("an exchange failed")
-		}
 		return
 	}
 	r.take(answer, asked)
