--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -191,11 +191,7 @@
 	if err := n.listenInternal(group); err != nil {
 		return err
 	}
-	return n.run(ctx, group, groupCtx, stop, []runFunc{server.Run}, func(bounded context.Context) {
-		if err := server.Drain(bounded); err != nil {
-			n.logger.Warn().Err(err).Msg("requests for slots were still waiting")
-		}
-	})
+	return n.run(ctx, group, groupCtx, stop, []runFunc{server.Run}, func(context.Context) { server.Drain() })
 }
 
 // entryNode is an entry on the users' platform.
@@ -304,7 +300,7 @@
 		return err
 	}
 	for {
-		_, err := e.store.Put(ctx, platform.TopicEntries, member.ID, value, nil)
+		err := e.store.Put(ctx, platform.TopicEntries, member.ID, value)
 		if err == nil {
 			<-ctx.Done()
 			return ctx.Err()
--- a/internal/fleet/manifest.go
+++ b/internal/fleet/manifest.go
@@ -127,7 +127,6 @@
 	accounts map[keyHash]*Account
 	// routes holds the routes of a host, the longest prefix first.
 	routes map[string][]*Route
-	byName map[string]*Account
 }
 
 // ManifestError says why a manifest can't be used.
@@ -155,7 +154,6 @@
 		HasAccounts: len(accounts) > 0,
 		accounts:    map[keyHash]*Account{},
 		routes:      map[string][]*Route{},
-		byName:      map[string]*Account{},
 	}
 	for _, s := range services {
 		m.Services[s.Name] = s
@@ -175,7 +173,6 @@
 		for _, key := range spec.Keys {
 			m.accounts[sha256.Sum256([]byte(key))] = &account
 		}
-		m.byName[account.Name] = &account
 	}
 	return m, nil
 }
@@ -216,9 +213,6 @@
 	return m.accounts[sha256.Sum256([]byte(key))]
 }
 
-// AccountNamed returns an account by name, or nil.
-func (m *Manifest) AccountNamed(name string) *Account { return m.byName[name] }
-
 // Routes returns the number of routes.
 func (m *Manifest) Routes() int {
 	n := 0
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -24,8 +24,6 @@
 	// Slots is the number of requests that it runs at a time.
 	Slots int
 	State ServerState
-	// Warmup is how much longer it stays slow after its start.
-	Warmup time.Duration
 	// Born is the start of this incarnation.
 	Born time.Time
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,7 +60,6 @@
 	metrics *metrics
 	servers *serverTable
 	retries *retryBudget
-	running sync.WaitGroup
 	// leaving is when every call must have ended (Unix nanoseconds of the wall clock);
 	// 0: the gateway isn't leaving.
 	leaving atomic.Int64
@@ -114,25 +112,8 @@
 	return unavailable(KindNotReady, staleRetryAfter, "this process is about to stop")
 }
 
-// Wait waits until no call is running. It fails with the error of ctx.
-func (g *Gateway) Wait(ctx context.Context) error {
-	idle := make(chan struct{})
-	go func() {
-		g.running.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return errors.WithStack(ctx.Err())
-	}
-}
-
 // ServeHTTP answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.running.Add(1)
-	defer g.running.Done()
 	if g.leaving.Load() != 0 {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -20,8 +20,7 @@
 type RequestInfo struct {
 	ID string
 	// Key is the API key; empty if there is none.
-	Key   string
-	Model string
+	Key string
 	// Patience is how long the caller waits for the answer, if HasPatience is set.
 	Patience    time.Duration
 	HasPatience bool
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -49,7 +49,6 @@
 
 	mu       sync.Mutex
 	failures int
-	holders  sync.WaitGroup
 }
 
 // NewServer returns a server that takes its engine to be up.
@@ -107,8 +106,6 @@
 // ServeHTTP queues a request for a slot, says when it is granted or refused, and
 // holds the slot until the stream ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.holders.Add(1)
-	defer s.holders.Done()
 	var ask Ask
 	lines := json.NewDecoder(r.Body)
 	if err := lines.Decode(&ask); err != nil {
@@ -194,10 +191,7 @@
 }
 
 // Drain refuses all waiting and later requests for slots.
-func (s *Server) Drain(context.Context) error {
-	s.queue.Drain(time.Now())
-	return nil
-}
+func (s *Server) Drain() { s.queue.Drain(time.Now()) }
 
 func (a *Ask) request(now time.Time) admission.Request {
 	r := admission.Request{
