Wait in the test deployment until a paused process stands still

Ruled out: a slow machine alone (the request was answered, not timed out). Change: Process.Stop returns once all threads show as stopped. The test is as it was.

--- a/bench/deploy/process.go
+++ b/bench/deploy/process.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +19,8 @@
 const (
 	readyPoll    = 20 * time.Millisecond
 	readyTimeout = 15 * time.Second
+	// pauseTimeout bounds the time that a process takes to stand still after SIGSTOP.
+	pauseTimeout = 5 * time.Second
 	// maxLogTail is how much of a log an error shows, in bytes.
 	maxLogTail = 2000
 )
@@ -145,8 +149,44 @@
 	return nil
 }
 
-// Stop pauses the process; Continue lets it go on.
-func (p *Process) Stop() error { return p.signal(syscall.SIGSTOP) }
+// Stop pauses the process and waits until all its threads stand still; Continue lets
+// it go on. It fails with *SignalError or *StillRunningError.
+func (p *Process) Stop() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	// The signal is delivered when each thread enters the kernel next, so for a moment the
+	// process may still answer.
+	for end := time.Now().Add(pauseTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if p.standsStill() {
+			return nil
+		}
+	}
+	return errors.WithStack(&StillRunningError{Process: p.Name})
+}
+
+// standsStill reports whether all threads are stopped, as Linux shows it in /proc.
+func (p *Process) standsStill() bool {
+	p.mu.Lock()
+	pid := p.command.Process.Pid
+	p.mu.Unlock()
+	threads, err := filepath.Glob(filepath.Join("/proc", strconv.Itoa(pid), "task", "*", "stat"))
+	if err != nil || len(threads) == 0 {
+		// The process has ended.
+		return true
+	}
+	for _, path := range threads {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			continue // The thread has ended.
+		}
+		// The state follows the name, which is in parentheses.
+		if _, rest, found := strings.Cut(string(stat), ") "); found && !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return true
+}
 
 // Continue ends a pause.
 func (p *Process) Continue() error { return p.signal(syscall.SIGCONT) }
