--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -20,6 +20,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/admission"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/gateway"
+	"github.com/lagoonlane/lagoonlane/internal/lateness"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/roster"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
@@ -35,11 +36,12 @@
 	// configurationWaitPart and serversWaitPart are how long one read of the store waits
 	// for news, in parts of the bounds on configuration changes and on draining: a
 	// connection that went silent is found within the rest.
-	configurationWaitPart = 0.5
+	configurationWaitPart = 0.6
 	serversWaitPart       = 0.7
-	// serversPause follows news of backend servers, so that what changes together is
-	// read together.
-	serversPause = 150 * time.Millisecond
+	// serversPausePart is the pause after news of backend servers, in parts of the bound on
+	// draining. Each server renews its entry all the time: without a pause, each renewal
+	// would cost each entry a read.
+	serversPausePart = 0.4
 	// membersWait is the same for the list of entries, which tell each other of changes.
 	membersWait = 20 * time.Second
 	// leaveAfter is how long an entry that was told to stop still takes new connections:
@@ -184,7 +186,7 @@
 		Probe:  platform.NewEngineProbe(n.settings.Engine),
 		Logger: n.logger,
 	})
-	n.internal.Handle("POST "+slots.Path, server)
+	n.internal.Handle("GET "+slots.Path, server)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(background)
@@ -203,6 +205,7 @@
 	servers       *platform.ServerSource
 	roster        *roster.Roster
 	gateway       *gateway.Gateway
+	lateness      *lateness.Meter
 	upstream      *upstream.Client
 	public        *http.Server
 }
@@ -212,7 +215,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &entryNode{node: n, store: platform.NewStore(n.settings.StoreURL), directory: fleet.NewDirectory()}
+	e := &entryNode{node: n, store: platform.NewStore(n.settings.StoreURL), directory: fleet.NewDirectory(), lateness: &lateness.Meter{}}
 	holder := &fleet.Holder{}
 	e.configuration = platform.NewConfigurationSource(holder, n.logger)
 	codec := platform.Codec{}
@@ -233,9 +236,9 @@
 	bounds := n.settings.Bounds
 	e.gateway, err = gateway.New(gateway.Options{
 		DataCentre: n.settings.DataCentre, Codec: codec, Manifest: holder, Directory: e.directory,
-		Upstream: e.upstream, Slots: slots.NewClient(peers),
+		Upstream: e.upstream, Slots: slots.NewClient(nil),
 		SlotAddress: gateway.SlotAddress(strconv.Itoa(n.settings.InternalPort)),
-		Entries:     e.roster.Entries, Limits: pool,
+		Lateness:    e.lateness, Entries: e.roster.Entries, Limits: pool,
 		Bounds: gateway.Bounds{
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
@@ -273,11 +276,12 @@
 	bounds := e.settings.Bounds
 	configurationWait := time.Duration(configurationWaitPart * float64(bounds.ApplyWithin))
 	serversWait := time.Duration(serversWaitPart * float64(bounds.DrainWithin))
+	serversPause := time.Duration(serversPausePart * float64(bounds.DrainWithin))
 	return e.run(ctx, group, groupCtx, stop, []runFunc{
 		follow(platform.TopicOperator, e.configuration, configurationWait, 0),
 		follow(platform.TopicServers, e.servers, serversWait, serversPause),
 		follow(platform.TopicEntries, &platform.MemberSource{Roster: e.roster, Logger: e.logger}, membersWait, time.Second),
-		e.register, e.roster.Run, e.gateway.Run, e.upstream.Run,
+		e.register, e.roster.Run, e.gateway.Run, e.upstream.Run, e.lateness.Run,
 	}, e.leave)
 }
 
--- a/internal/fleet/manifest.go
+++ b/internal/fleet/manifest.go
@@ -57,6 +57,9 @@
 	Objective time.Duration
 	// MaxEventGap is the longest pause between two events of a stream.
 	MaxEventGap time.Duration
+	// FirstEventPatience is how long callers wait for the first event of a stream
+	// before they leave; 0: as long as for the whole answer.
+	FirstEventPatience time.Duration
 	// Rank is the tier: 0 is the highest.
 	Rank int
 	// MaxServers bounds the backend servers that one request may be sent to.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -116,6 +116,9 @@
 	if failure := g.resolve(one, r); failure != nil {
 		return one, failure
 	}
+	if failure := g.shed(one); failure != nil {
+		return one, failure
+	}
 	if most := manifest.Limits.MaxHeaderBytes; most > 0 && headerBytes(r.Header) > most {
 		return one, refusal(KindTooLarge, http.StatusRequestHeaderFieldsTooLarge, "the headers are too large")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,7 +35,7 @@
 	Retries      RetryBounds
 }
 
-// Options configure a Gateway. All but Meter are required.
+// Options configure a Gateway. All but Meter and Lateness are required.
 type Options struct {
 	DataCentre string
 	Codec      Codec
@@ -45,6 +45,8 @@
 	Slots      *slots.Client
 	// SlotAddress returns the address of the sidecar beside a backend server, or "".
 	SlotAddress func(fleet.Server) string
+	// Lateness tells this process's own delay; nil: it is never late.
+	Lateness Lateness
 	// Entries returns the number of entries that are alive, this one included.
 	Entries func() int
 	Limits  *limit.Pool
@@ -67,26 +69,25 @@
 
 // New returns a gateway.
 func New(options Options) (*Gateway, error) {
-	instruments, err := newMetrics(options.Meter)
-	if err != nil {
-		return nil, err
-	}
-	return &Gateway{
+	g := &Gateway{
 		options: options,
 		logger:  options.Logger,
-		metrics: instruments,
 		servers: newServerTable(options.DataCentre),
 		retries: newRetryBudget(options.Bounds.Retries),
-	}, nil
+	}
+	var err error
+	g.metrics, err = newMetrics(options.Meter, g.delay)
+	return g, err
 }
 
 func (g *Gateway) random() float64 { return rand.Float64() }
 
 // Ready reports whether callers can be served: configuration and backend servers are
-// known, and the configuration is recent enough to check keys for a while.
+// known, the configuration is recent enough to check keys for a while, and there is
+// processor time for more callers.
 func (g *Gateway) Ready() bool {
 	manifest, confirmed := g.options.Manifest.Current()
-	if g.leaving.Load() != 0 || manifest == nil || !g.options.Directory.Loaded() {
+	if g.leaving.Load() != 0 || manifest == nil || !g.options.Directory.Loaded() || g.overloaded() {
 		return false
 	}
 	return !manifest.HasAccounts || steady.Since(confirmed) < g.options.Bounds.RevokeWithin/2
@@ -173,6 +174,10 @@
 		panic(http.ErrAbortHandler)
 	case r.Context().Err() != nil && failure.Kind == KindCallerLeft:
 		panic(http.ErrAbortHandler)
+	case failure.Kind == KindOverloaded:
+		// The caller's next request had better go to another process.
+		w.Header().Set("Connection", "close")
+		g.write(w, one, failure)
 	default:
 		g.write(w, one, failure)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,7 +23,6 @@
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
-	"github.com/lagoonlane/lagoonlane/internal/transport"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
 
@@ -68,6 +67,7 @@
 	holder  *fleet.Holder
 	gateway *gateway.Gateway
 	dir     *fleet.Directory
+	late    *lateness
 	age     time.Duration
 }
 
@@ -79,7 +79,7 @@
 // newAgedWorld returns a world whose configuration was confirmed some time ago.
 func newAgedWorld(t *testing.T, age time.Duration, servers ...serve) *world {
 	c := qt.New(t)
-	w := &world{c: c, age: age, holder: &fleet.Holder{}, dir: fleet.NewDirectory()}
+	w := &world{c: c, age: age, late: &lateness{}, holder: &fleet.Holder{}, dir: fleet.NewDirectory()}
 	for i, s := range servers {
 		w.dir.Put(fleet.Server{ID: fmt.Sprint("server-", i), Service: "plain", Address: backend(t, s), Slots: 4})
 	}
@@ -90,8 +90,8 @@
 	var err error
 	w.gateway, err = gateway.New(gateway.Options{
 		Codec: codec{}, Manifest: w.holder, Directory: w.dir, Upstream: client,
-		Slots: slots.NewClient(transport.NewClient("", nil)), SlotAddress: func(fleet.Server) string { return "" },
-		Entries: func() int { return 1 }, Limits: limit.NewPool(),
+		Slots: slots.NewClient(nil), SlotAddress: func(fleet.Server) string { return "" },
+		Lateness: w.late, Entries: func() int { return 1 }, Limits: limit.NewPool(),
 		Bounds: gateway.Bounds{
 			ApplyWithin: 2 * time.Second, RevokeWithin: 5 * time.Second,
 			Retries: gateway.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
@@ -118,6 +118,14 @@
 		route("stream", fleet.KindStreaming, false, 2*time.Second),
 		route("resumable", fleet.KindStreaming, true, 2*time.Second),
 		route("short", fleet.KindUnsafe, false, 200*time.Millisecond),
+		{
+			Name: "low", Host: "127.0.0.1", PathPrefix: "/low/", Kind: fleet.KindUnsafe, Rank: 2, Timeout: 2 * time.Second,
+			Objective: 300 * time.Millisecond, MaxServers: 1, Shares: []fleet.Share{{Service: "plain", Weight: 1}},
+		},
+		{
+			Name: "impatient", Host: "127.0.0.1", PathPrefix: "/impatient/", Kind: fleet.KindStreaming, Timeout: 6 * time.Second,
+			Objective: 2 * time.Second, FirstEventPatience: 200 * time.Millisecond, MaxServers: 1, Shares: []fleet.Share{{Service: "plain", Weight: 1}},
+		},
 	}, []*fleet.Service{{Name: "plain"}}, []fleet.AccountSpec{{Account: fleet.Account{Name: "a"}, Keys: []string{key}}}, fleet.ClientLimits{MaxBodyBytes: 1 << 16})
 	w.c.Assert(err, qt.IsNil)
 	w.holder.Set(m)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,7 +24,7 @@
 	whole      metric.Float64Histogram
 }
 
-func newMetrics(meter metric.Meter) (*metrics, error) {
+func newMetrics(meter metric.Meter, delay func() time.Duration) (*metrics, error) {
 	if meter == nil {
 		meter = noop.Meter{}
 	}
@@ -45,7 +45,20 @@
 			return nil, errors.WithStack(err)
 		}
 	}
-	return m, nil
+	return m, m.observeDelay(meter, delay)
+}
+
+// observeDelay shows how late this process is.
+func (m *metrics) observeDelay(meter metric.Meter, delay func() time.Duration) error {
+	gauge, err := meter.Float64ObservableGauge("lagoonlane_process_delay", metric.WithUnit("s"))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		o.ObserveFloat64(gauge, delay().Seconds())
+		return nil
+	}, gauge)
+	return errors.WithStack(err)
 }
 
 func (m *metrics) concluded(one *call, p *progress, failure *Failure, took time.Duration) {
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -18,6 +18,7 @@
 	KindNoRoute      Kind = "no-route"
 	KindUnauthorized Kind = "unauthorized"
 	KindTooLarge     Kind = "too-large"
+	KindOverloaded   Kind = "overloaded"
 	KindLimit        Kind = "limit"
 	KindNoServer     Kind = "no-server"
 	KindNoSlot       Kind = "no-slot"
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -23,6 +23,10 @@
 	// maxAsks bounds the sidecars that are asked for one slot in all: one that refuses
 	// knows its own queue only.
 	maxAsks = 8
+	// leanTickets and leanAsks are the same for a process that is late: each ticket costs
+	// processor time.
+	leanTickets = 2
+	leanAsks    = 3
 )
 
 // placement is the backend server that a request goes to, and the slot it holds there.
@@ -50,7 +54,6 @@
 	if failure != nil {
 		return nil, failure
 	}
-	g.servers.begin(at.server.ID)
 	return at, nil
 }
 
@@ -72,7 +75,9 @@
 	open int
 	// asked counts the sidecars that were asked.
 	asked int
-	rest  []candidate
+	// maxOpen and maxAsked bound the tickets at a time and in all.
+	maxOpen, maxAsked int
+	rest              []candidate
 	// retryAfter is the shortest time that a sidecar named.
 	retryAfter time.Duration
 	reason     string
@@ -82,6 +87,10 @@
 // it waits, at further ones. The first slot that is granted is taken.
 func (g *Gateway) placeAtEngine(ctx context.Context, one *call, list []fleet.Server) (*placement, *Failure) {
 	t := &tickets{g: g, one: one, results: make(chan ticketResult, len(list)), rest: g.servers.candidates(list, one, time.Now())}
+	t.maxOpen, t.maxAsked = maxTickets, maxAsks
+	if g.delay() > leanDelay {
+		t.maxOpen, t.maxAsked = leanTickets, leanAsks
+	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	defer t.abandon()
 	for {
@@ -92,7 +101,7 @@
 			return nil, t.refused()
 		}
 		var hedge <-chan time.Time
-		if t.open < maxTickets && len(t.rest) > 0 {
+		if t.open < t.maxOpen && len(t.rest) > 0 {
 			timer := time.NewTimer(hedgeAfter)
 			defer timer.Stop()
 			hedge = timer.C
@@ -112,7 +121,7 @@
 // next places a ticket at the next candidate. An engine whose sidecar is silent gets
 // the request directly, within a bound; then next returns the placement.
 func (t *tickets) next() *placement {
-	for len(t.rest) > 0 && t.open < maxTickets && t.asked < maxAsks {
+	for len(t.rest) > 0 && t.open < t.maxOpen && t.asked < t.maxAsked {
 		c := t.rest[0]
 		t.rest = t.rest[1:]
 		address := t.g.options.SlotAddress(c.server)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -82,6 +82,10 @@
 		if failure != nil {
 			return g.final(ctx, one, p, failure)
 		}
+		if g.probablyLeft(one, p) {
+			place.release(admission.Outcome{})
+			return g.final(ctx, one, p, unavailable(KindOverloaded, staleRetryAfter, "placed after the caller's patience was over"))
+		}
 		outcome, err := g.send(ctx, one, p, place)
 		g.metrics.sent(one, outcome)
 		if outcome == verdictAnswered {
@@ -143,6 +147,7 @@
 // send sends a call to the backend server that it was placed at, once.
 func (g *Gateway) send(ctx context.Context, one *call, p *progress, at *placement) (verdict, error) {
 	sent := time.Now()
+	g.servers.begin(at.server.ID)
 	p.server = at.server.ID
 	p.tried[at.server.ID] = true
 	result := g.exchange(ctx, one, p, at)
--- /dev/null
+++ b/internal/slots/bench_test.go
@@ -0,0 +1,38 @@
+package slots_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/lagoonlane/lagoonlane/internal/admission"
+)
+
+// BenchmarkGranted takes a free slot and gives it back.
+func BenchmarkGranted(b *testing.B) {
+	s := newSide(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		lease, err := s.client.Acquire(b.Context(), s.address, ask("a"), nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		lease.Finish(admission.Outcome{Sent: true})
+	}
+}
+
+// BenchmarkWithdrawn queues for a slot that is held and withdraws.
+func BenchmarkWithdrawn(b *testing.B) {
+	s := newSide(b)
+	lease, err := s.client.Acquire(b.Context(), s.address, ask("a"), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer lease.Abandon()
+	b.ReportAllocs()
+	for b.Loop() {
+		ctx, cancel := context.WithCancel(b.Context())
+		if _, err := s.client.Acquire(ctx, s.address, ask("b"), func(admission.SlotLoad) { cancel() }); err == nil {
+			b.Fatal("granted")
+		}
+	}
+}
--- a/internal/slots/client.go
+++ b/internal/slots/client.go
@@ -1,10 +1,9 @@
 package slots
 
 import (
-	"bytes"
+	"bufio"
 	"context"
-	"encoding/json"
-	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -12,175 +11,326 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/transport"
 )
 
-// headTimeout is how long a sidecar may take to say that it has queued a request:
-// a hundred times the usual way there and back.
-const headTimeout = 250 * time.Millisecond
+const (
+	// answerTimeout is how long a sidecar may take to say that it has queued a request:
+	// a hundred times the usual way there and back.
+	answerTimeout = 250 * time.Millisecond
+	// openTimeout bounds opening a connection.
+	openTimeout = 250 * time.Millisecond
+)
 
-// Client asks sidecars for slots.
+// Client asks sidecars for slots, over one connection to each. It is safe for
+// concurrent use.
 type Client struct {
-	http *http.Client
+	dial transport.DialFunc
+
+	mu    sync.Mutex
+	links map[string]*clientLink
 }
 
-// NewClient returns a client that uses HTTP/2 connections of an HTTP client.
-func NewClient(client *http.Client) *Client { return &Client{http: client} }
+// NewClient returns a client. A nil dial means plain TCP.
+func NewClient(dial transport.DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &Client{dial: dial, links: map[string]*clientLink{}}
+}
 
-// Lease is a slot that is held.
-type Lease struct {
-	// Load is the state of the queue when the slot was granted.
-	Load   admission.SlotLoad
-	body   *leaseBody
-	answer io.ReadCloser
-	cancel context.CancelFunc
+// Close closes all connections: slots that are held are free again.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.links {
+		<-l.opened
+		if l.link != nil {
+			l.link.close()
+		}
+	}
 }
 
 // Acquire asks the sidecar at an address for a slot and waits for it. Queued, if not
 // nil, is called once the sidecar has taken the request into its queue. It fails with
 // *RefusedError, *UnreachableError or the error of ctx.
 func (c *Client) Acquire(ctx context.Context, address string, ask Ask, queued func(admission.SlotLoad)) (*Lease, error) {
-	first, err := json.Marshal(ask)
-	if err != nil {
-		return nil, errors.Wrap(err, "request for a slot")
-	}
-	stream, cancelStream := context.WithCancel(context.WithoutCancel(ctx))
-	body := &leaseBody{first: first, last: make(chan []byte, 1), closed: make(chan struct{})}
-	// An HTTP/2 stream whose request body is still open ends only with that body.
-	cancel := func() {
-		cancelStream()
-		body.end()
-	}
-	stop := context.AfterFunc(ctx, cancel)
-	defer stop()
-	lease, err := c.open(stream, address, body, queued, cancel)
+	l, t, err := c.submit(ctx, address, ask)
 	if err != nil {
-		cancel()
-		if ctx.Err() != nil {
+		return nil, err
+	}
+	silence := time.NewTimer(answerTimeout)
+	defer silence.Stop()
+	for {
+		select {
+		case m := <-t.answers:
+			silence.Stop()
+			if m.Kind != kindQueued {
+				return l.decided(t, m)
+			}
+			if queued != nil && m.Load != nil {
+				queued(*m.Load)
+			}
+		case <-silence.C:
+			l.withdraw(t)
+			return nil, l.unreachable(&SilentError{Waited: answerTimeout})
+		case <-l.link.closed:
+			return nil, l.unreachable(&ClosedError{})
+		case <-ctx.Done():
+			l.withdraw(t)
 			return nil, errors.WithStack(ctx.Err())
 		}
-		return nil, err
 	}
-	if !stop() {
-		lease.Abandon()
+}
+
+// submit sends a request to a sidecar. A connection that was closed for want of use is
+// opened again.
+func (c *Client) submit(ctx context.Context, address string, ask Ask) (*clientLink, *ticket, error) {
+	for again := false; ; again = true {
+		l, err := c.connect(ctx, address)
+		if err != nil {
+			return nil, nil, err
+		}
+		t, err := l.ask(ask)
+		if err == nil || again {
+			return l, t, err
+		}
+	}
+}
+
+// connect returns the open connection to a sidecar, and opens one if there is none.
+func (c *Client) connect(ctx context.Context, address string) (*clientLink, error) {
+	c.mu.Lock()
+	l := c.links[address]
+	if l == nil || l.ended() {
+		l = &clientLink{address: address, opened: make(chan struct{}), tickets: map[uint64]*ticket{}}
+		c.links[address] = l
+		go c.run(l)
+	}
+	c.mu.Unlock()
+	select {
+	case <-l.opened:
+	case <-ctx.Done():
 		return nil, errors.WithStack(ctx.Err())
 	}
-	return lease, nil
+	if l.failure != nil {
+		return nil, l.unreachable(l.failure)
+	}
+	return l, nil
+}
+
+// run opens a connection and reads it until it ends.
+func (c *Client) run(l *clientLink) {
+	l.link, l.failure = c.open(l.address)
+	close(l.opened)
+	if l.failure == nil {
+		go l.watch()
+		l.readAnswers()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links[l.address] == l {
+		delete(c.links, l.address)
+	}
 }
 
-func (c *Client) open(ctx context.Context, address string, body *leaseBody, queued func(admission.SlotLoad), cancel context.CancelFunc) (*Lease, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, body)
+func (c *Client) open(address string) (*link, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	conn, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	l, err := upgrade(conn, address)
 	if err != nil {
-		return nil, errors.Wrap(err, "request for a slot")
+		_ = conn.Close()
 	}
-	late := time.AfterFunc(headTimeout, cancel)
-	response, err := c.http.Do(request)
-	late.Stop()
+	return l, err
+}
+
+// upgrade turns a fresh connection into a link.
+func upgrade(conn net.Conn, address string) (*link, error) {
+	if err := conn.SetDeadline(time.Now().Add(openTimeout)); err != nil {
+		return nil, errors.Wrap(err, "deadline")
+	}
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+Path, nil)
 	if err != nil {
-		return nil, errors.WithStack(&UnreachableError{Address: address, Cause: err})
+		return nil, errors.Wrap(err, "upgrade request")
 	}
-	if response.StatusCode != http.StatusOK {
-		_ = response.Body.Close()
-		return nil, errors.WithStack(&UnreachableError{Address: address, Cause: &StatusError{Status: response.StatusCode}})
+	request.Header.Set("Connection", "Upgrade")
+	request.Header.Set("Upgrade", upgradeProtocol)
+	if err := request.Write(conn); err != nil {
+		return nil, errors.Wrap(err, "upgrade request")
 	}
-	var load admission.SlotLoad
-	if head := response.Header.Get(loadHeader); head != "" && queued != nil {
-		if err := json.Unmarshal([]byte(head), &load); err == nil {
-			queued(load)
-		}
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		return nil, errors.Wrap(err, "upgrade answer")
 	}
-	var d decision
-	if err := json.NewDecoder(response.Body).Decode(&d); err != nil {
-		_ = response.Body.Close()
-		return nil, errors.WithStack(&UnreachableError{Address: address, Cause: err})
+	if response.StatusCode != http.StatusSwitchingProtocols {
+		return nil, errors.WithStack(&StatusError{Status: response.Status})
 	}
-	if !d.Granted {
-		_ = response.Body.Close()
-		return nil, errors.WithStack(&RefusedError{
-			Reason: d.Reason, RetryAfter: time.Duration(d.RetryAfterMS) * time.Millisecond, Load: d.Load,
-		})
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, errors.Wrap(err, "deadline")
 	}
-	return &Lease{Load: d.Load, body: body, answer: response.Body, cancel: cancel}, nil
+	return newLink(conn, reader), nil
 }
 
-// StatusError says that a sidecar answered with an unexpected status.
-type StatusError struct{ Status int }
+// clientLink is an entry's side of a connection.
+type clientLink struct {
+	address string
+	// opened is closed once link or failure is set.
+	opened  chan struct{}
+	link    *link
+	failure error
 
-func (e *StatusError) Error() string { return http.StatusText(e.Status) }
+	mu      sync.Mutex
+	last    uint64
+	tickets map[uint64]*ticket
+	// heard is when the sidecar was last heard, or when there was nothing to hear.
+	heard time.Time
+	// used is when a ticket was last added.
+	used time.Time
+}
 
-// Finish gives the slot back and tells the sidecar what became of the request. It
-// doesn't wait.
-func (l *Lease) Finish(outcome admission.Outcome) {
-	last, err := json.Marshal(result{
-		Sent:         outcome.Sent,
-		Failed:       outcome.Failed,
-		FirstTokenUS: outcome.FirstToken.Microseconds(),
-		OutputTokens: outcome.OutputTokens,
+// ticket is a request's place in a sidecar's queue, then its slot.
+type ticket struct {
+	number uint64
+	// answers holds "queued" and the decision at most.
+	answers chan *message
+}
+
+// ended reports whether the connection was open and isn't any more.
+func (l *clientLink) ended() bool {
+	select {
+	case <-l.opened:
+		return l.failure != nil || l.link.ended()
+	default:
+		return false
+	}
+}
+
+func (l *clientLink) unreachable(cause error) error {
+	return errors.WithStack(&UnreachableError{Address: l.address, Cause: cause})
+}
+
+func (l *clientLink) ask(ask Ask) (*ticket, error) {
+	t := &ticket{answers: make(chan *message, 2)}
+	now := time.Now()
+	l.mu.Lock()
+	if len(l.tickets) == 0 {
+		l.heard = now
+	}
+	l.last++
+	t.number, l.used = l.last, now
+	l.tickets[t.number] = t
+	l.mu.Unlock()
+	if !l.link.send(&message{Kind: kindAsk, Ticket: t.number, Ask: &ask}) {
+		l.remove(t.number)
+		return nil, l.unreachable(&ClosedError{})
+	}
+	return t, nil
+}
+
+func (l *clientLink) remove(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.tickets, number)
+}
+
+// withdraw takes a ticket back. A slot that is granted all the same is free again once
+// the sidecar reads this.
+func (l *clientLink) withdraw(t *ticket) {
+	l.remove(t.number)
+	l.link.send(&message{Kind: kindWithdraw, Ticket: t.number})
+}
+
+func (l *clientLink) decided(t *ticket, m *message) (*Lease, error) {
+	load := admission.SlotLoad{}
+	if m.Load != nil {
+		load = *m.Load
+	}
+	if m.Kind == kindGranted {
+		return &Lease{Load: load, link: l, ticket: t}, nil
+	}
+	l.remove(t.number)
+	return nil, errors.WithStack(&RefusedError{
+		Reason: m.Reason, RetryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond, Load: load,
 	})
-	if err != nil {
-		l.Abandon()
-		return
+}
+
+// readAnswers hands the sidecar's answers to their tickets until the connection ends.
+func (l *clientLink) readAnswers() {
+	defer l.link.close()
+	for {
+		m, err := l.link.read()
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		l.heard = time.Now()
+		t := l.tickets[m.Ticket]
+		l.mu.Unlock()
+		if t == nil || m.Kind == kindPing {
+			continue
+		}
+		select {
+		case t.answers <- m:
+		default:
+			// No third answer belongs to a ticket.
+			return
+		}
 	}
-	l.body.finish(last)
-	go func() {
-		// The sidecar ends its answer once it has read the result.
-		timer := time.AfterFunc(headTimeout, l.cancel)
-		defer timer.Stop()
-		_, _ = io.Copy(io.Discard, l.answer)
-		_ = l.answer.Close()
-		l.cancel()
-	}()
 }
 
-// Abandon gives the slot back without a result.
-func (l *Lease) Abandon() {
-	l.cancel()
-	_ = l.answer.Close()
-}
-
-// leaseBody is the body of a request for a slot: the request, then, once the slot is
-// given back, the result.
-type leaseBody struct {
-	first  []byte
-	last   chan []byte
-	rest   bytes.Reader
-	once   sync.Once
-	ending bool
-	closed chan struct{}
-}
-
-// Read returns the request first, and waits for the result after it.
-func (b *leaseBody) Read(p []byte) (int, error) {
-	if len(b.first) > 0 {
-		n := copy(p, b.first)
-		b.first = b.first[n:]
-		return n, nil
-	}
-	if !b.ending {
+// watch closes the connection when the sidecar is silent or nothing was asked for long.
+func (l *clientLink) watch() {
+	defer l.link.close()
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	looked := time.Now()
+	for {
 		select {
-		case last := <-b.last:
-			b.rest.Reset(last)
-			b.ending = true
-		case <-b.closed:
-			return 0, io.ErrClosedPipe
+		case <-l.link.closed:
+			return
+		case <-ticker.C:
 		}
+		now := time.Now()
+		if !l.look(now, now.Sub(looked) > 2*pingInterval) {
+			return
+		}
+		looked = now
 	}
-	return b.rest.Read(p)
 }
 
-// Close implements io.Closer.
-func (b *leaseBody) Close() error {
-	b.end()
-	return nil
+// look pings the sidecar if there are tickets, and reports whether the connection is of
+// use. After a pause of this process the sidecar gets its time anew.
+func (l *clientLink) look(now time.Time, paused bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if paused {
+		l.heard = now
+	}
+	if len(l.tickets) == 0 {
+		return now.Sub(l.used) < idleLimit
+	}
+	return now.Sub(l.heard) < silenceLimit && l.link.send(&message{Kind: kindPing})
 }
 
-// end ends a Read that waits.
-func (b *leaseBody) end() {
-	b.once.Do(func() { close(b.closed) })
+// Lease is a slot that is held.
+type Lease struct {
+	// Load is the state of the queue when the slot was granted.
+	Load   admission.SlotLoad
+	link   *clientLink
+	ticket *ticket
 }
 
-func (b *leaseBody) finish(last []byte) {
-	select {
-	case b.last <- last:
-	default:
-	}
+// Finish gives the slot back and tells the sidecar what became of the request. It
+// doesn't wait.
+func (l *Lease) Finish(outcome admission.Outcome) {
+	l.link.remove(l.ticket.number)
+	l.link.link.send(&message{Kind: kindFinish, Ticket: l.ticket.number, Result: newResult(outcome)})
 }
+
+// Abandon gives the slot back without a result.
+func (l *Lease) Abandon() { l.link.withdraw(l.ticket) }
--- /dev/null
+++ b/internal/slots/link.go
@@ -0,0 +1,89 @@
+package slots
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+)
+
+// link is one connection between an entry and a sidecar. One goroutine writes, one reads.
+type link struct {
+	conn   net.Conn
+	reader *json.Decoder
+	unsent chan *message
+	closed chan struct{}
+	once   sync.Once
+}
+
+// newLink takes over a connection; buffered holds what was read of it already.
+func newLink(conn net.Conn, buffered io.Reader) *link {
+	l := &link{
+		conn: conn, reader: json.NewDecoder(buffered),
+		unsent: make(chan *message, maxUnsentMessages), closed: make(chan struct{}),
+	}
+	go l.write()
+	return l
+}
+
+// send hands a message to the writer and doesn't wait. A connection whose other side
+// doesn't read is closed. It reports false if the connection is closed.
+func (l *link) send(m *message) bool {
+	select {
+	case <-l.closed:
+		return false
+	case l.unsent <- m:
+		return true
+	default:
+		l.close()
+		return false
+	}
+}
+
+// write writes messages; those that wait together go out together.
+func (l *link) write() {
+	defer l.close()
+	out := bufio.NewWriter(l.conn)
+	encoder := json.NewEncoder(out)
+	for {
+		select {
+		case <-l.closed:
+			return
+		case m := <-l.unsent:
+			if err := encoder.Encode(m); err != nil {
+				return
+			}
+			if len(l.unsent) > 0 {
+				continue
+			}
+			if err := out.Flush(); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// read returns the next message.
+func (l *link) read() (*message, error) {
+	m := &message{}
+	return m, l.reader.Decode(m)
+}
+
+// close ends the connection; both goroutines end with it.
+func (l *link) close() {
+	l.once.Do(func() {
+		close(l.closed)
+		// Nothing is lost with the connection that the other side doesn't learn by it.
+		_ = l.conn.Close()
+	})
+}
+
+func (l *link) ended() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/slots/message.go
+++ b/internal/slots/message.go
@@ -1,7 +1,8 @@
 // Package slots owns the hand-out of an engine's slots: a sidecar grants them in
 // the order that its queue decides, and an entry holds one for as long as its call
-// lasts. A slot is bound to the HTTP/2 stream that asked for it, so it is free again
-// when either side is gone. The request itself goes from the entry to the engine.
+// lasts. An entry and a sidecar share one connection for all tickets. Slots are bound
+// to it, so they are free again when either side is gone. The request itself goes from
+// the entry to the engine.
 package slots
 
 import (
@@ -11,11 +12,21 @@
 	"github.com/lagoonlane/lagoonlane/internal/admission"
 )
 
-// Path is where a sidecar hands out slots.
-const Path = "/lane/v1/slot"
-
-// loadHeader carries the load of the sidecar's queue, as JSON, in the head of an answer.
-const loadHeader = "Lane-Load"
+const (
+	// Path is where a sidecar takes connections for slots, by an HTTP/1.1 upgrade to
+	// upgradeProtocol: then each side sends JSON messages.
+	Path            = "/lane/v1/slots"
+	upgradeProtocol = "lane-slots"
+	// pingInterval is the time between two pings on a connection that carries tickets.
+	pingInterval = time.Second
+	// silenceLimit is how long such a connection may carry nothing. It is longer than
+	// the pauses that a busy machine makes.
+	silenceLimit = 4 * time.Second
+	// idleLimit closes connections without tickets.
+	idleLimit = 15 * time.Second
+	// maxUnsentMessages on one connection mean that the other side doesn't read.
+	maxUnsentMessages = 4096
+)
 
 // Ask describes the request that a slot is for.
 type Ask struct {
@@ -26,30 +37,67 @@
 	BudgetMS int64 `json:"budget_ms"`
 	// ObjectiveMS is the time left until the first token should come, if HasObjective is
 	// set; it may be negative. LateHoldMS is how long past it the request may wait.
-	HasObjective bool  `json:"has_objective"`
-	ObjectiveMS  int64 `json:"objective_ms"`
-	LateHoldMS   int64 `json:"late_hold_ms"`
-	PromptTokens int   `json:"prompt_tokens"`
-	OutputTokens int   `json:"output_tokens"`
+	HasObjective bool  `json:"has_objective,omitempty"`
+	ObjectiveMS  int64 `json:"objective_ms,omitempty"`
+	LateHoldMS   int64 `json:"late_hold_ms,omitempty"`
+	PromptTokens int   `json:"prompt_tokens,omitempty"`
+	OutputTokens int   `json:"output_tokens,omitempty"`
 	// Slots and MemoryTokens are the engine's capacity as the entry knows it.
-	Slots        int `json:"slots"`
-	MemoryTokens int `json:"memory_tokens"`
+	Slots        int `json:"slots,omitempty"`
+	MemoryTokens int `json:"memory_tokens,omitempty"`
 }
 
-// decision is the first line of an answer's body.
-type decision struct {
-	Granted      bool               `json:"granted"`
-	Reason       string             `json:"reason,omitempty"`
-	RetryAfterMS int64              `json:"retry_after_ms,omitempty"`
-	Load         admission.SlotLoad `json:"load"`
+// kind says what a message means.
+type kind string
+
+// Kinds of messages.
+const (
+	// kindAsk, kindFinish and kindWithdraw are an entry's: a new ticket, the end of a
+	// request that held a slot, and the end of a ticket or slot that is not used.
+	kindAsk      kind = "ask"
+	kindFinish   kind = "finish"
+	kindWithdraw kind = "withdraw"
+	// kindQueued, kindGranted and kindRefused are a sidecar's answers to a ticket.
+	kindQueued  kind = "queued"
+	kindGranted kind = "granted"
+	kindRefused kind = "refused"
+	// kindPing shows that an entry lives; a sidecar sends it back.
+	kindPing kind = "ping"
+)
+
+// message is one message of either side.
+type message struct {
+	Kind kind `json:"kind"`
+	// Ticket numbers the tickets of one connection.
+	Ticket uint64 `json:"ticket,omitempty"`
+	// Ask is set with kindAsk.
+	Ask *Ask `json:"ask,omitempty"`
+	// Result is set with kindFinish.
+	Result *result `json:"result,omitempty"`
+	// Load is the state of the sidecar's queue, with its answers.
+	Load *admission.SlotLoad `json:"load,omitempty"`
+	// Reason and RetryAfterMS are set with kindRefused.
+	Reason       string `json:"reason,omitempty"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
 }
 
-// result is the last line of a request's body: what became of the request.
+// result is what became of a request that held a slot.
 type result struct {
-	Sent         bool  `json:"sent"`
-	Failed       bool  `json:"failed"`
-	FirstTokenUS int64 `json:"first_token_us"`
-	OutputTokens int   `json:"output_tokens"`
+	Sent         bool  `json:"sent,omitempty"`
+	Failed       bool  `json:"failed,omitempty"`
+	FirstTokenUS int64 `json:"first_token_us,omitempty"`
+	OutputTokens int   `json:"output_tokens,omitempty"`
+}
+
+func newResult(o admission.Outcome) *result {
+	return &result{Sent: o.Sent, Failed: o.Failed, FirstTokenUS: o.FirstToken.Microseconds(), OutputTokens: o.OutputTokens}
+}
+
+func (r *result) outcome() admission.Outcome {
+	return admission.Outcome{
+		Sent: r.Sent, Failed: r.Failed, OutputTokens: r.OutputTokens,
+		FirstToken: time.Duration(r.FirstTokenUS) * time.Microsecond,
+	}
 }
 
 // RefusedError says that a sidecar refused a slot.
@@ -75,3 +123,18 @@
 
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// SilentError says that a sidecar took too long to answer.
+type SilentError struct{ Waited time.Duration }
+
+func (e *SilentError) Error() string { return fmt.Sprintf("silent for %v", e.Waited) }
+
+// ClosedError says that a connection for slots has ended.
+type ClosedError struct{}
+
+func (*ClosedError) Error() string { return "the connection is closed" }
+
+// StatusError says that a sidecar answered with an unexpected status.
+type StatusError struct{ Status string }
+
+func (e *StatusError) Error() string { return "status " + e.Status }
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -1,12 +1,15 @@
 package slots
 
 import (
+	"bufio"
 	"context"
-	"encoding/json"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
@@ -103,91 +106,175 @@
 	return s.failures < maxProbeFailures
 }
 
-// ServeHTTP queues a request for a slot, says when it is granted or refused, and
-// holds the slot until the stream ends.
+// ServeHTTP takes over the connection of an entry, answers its tickets, and holds its
+// slots until the connection ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var ask Ask
-	lines := json.NewDecoder(r.Body)
-	if err := lines.Decode(&ask); err != nil {
-		http.Error(w, "the request for a slot can't be read: "+err.Error(), http.StatusBadRequest)
+	if !strings.EqualFold(r.Header.Get("Upgrade"), upgradeProtocol) {
+		w.Header().Set("Upgrade", upgradeProtocol)
+		http.Error(w, "this path speaks "+upgradeProtocol, http.StatusUpgradeRequired)
 		return
 	}
-	now := time.Now()
-	if !s.healthy() {
-		s.reply(w, ask, decision{Reason: admission.ReasonUnhealthy.String(), Load: s.queue.Load()}, 0)
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		s.logger.Error().Str("peer", r.RemoteAddr).Err(err).Msg("a connection for slots could not be taken over")
 		return
 	}
-	s.queue.SetCapacity(now, ask.Slots, ask.MemoryTokens)
-	ticket := s.queue.Submit(now, ask.request(now))
-	if !s.await(w, r, ticket) {
-		s.queue.Withdraw(time.Now(), ticket)
+	if err := accept(conn, buffered.Writer); err != nil {
+		s.logger.Info().Str("peer", r.RemoteAddr).Err(err).Msg("the entry left before its first ticket")
+		_ = conn.Close()
 		return
 	}
-	refusal := ticket.Refusal()
-	if refusal != nil {
-		s.reply(w, ask, decision{
-			Reason: refusal.Reason.String(), RetryAfterMS: refusal.RetryAfter.Milliseconds(), Load: s.queue.Load(),
-		}, time.Since(now))
-		return
+	one := &serverLink{server: s, link: newLink(conn, buffered.Reader), tickets: map[uint64]*admission.SlotTicket{}}
+	err = one.serve()
+	s.logger.Debug().Str("peer", r.RemoteAddr).Int("tickets", one.open()).Err(err).Msg("connection for slots ended")
+	one.end()
+}
+
+// accept answers an upgrade.
+func accept(conn net.Conn, w *bufio.Writer) error {
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return errors.Wrap(err, "deadline")
 	}
-	s.reply(w, ask, decision{Granted: true, Load: s.queue.Load()}, time.Since(now))
-	var seen result
-	if err := lines.Decode(&seen); err != nil {
-		// The entry withdrew or is gone: nothing is known of its request.
-		s.queue.Withdraw(time.Now(), ticket)
-		return
+	_, err := w.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n\r\n")
+	if err != nil {
+		return errors.Wrap(err, "upgrade answer")
 	}
-	s.queue.Finish(time.Now(), ticket, admission.Outcome{
-		Sent:         seen.Sent,
-		Failed:       seen.Failed,
-		FirstToken:   time.Duration(seen.FirstTokenUS) * time.Microsecond,
-		OutputTokens: seen.OutputTokens,
-	})
+	return errors.Wrap(w.Flush(), "upgrade answer")
 }
 
-// await waits for the decision on a ticket. An entry whose ticket has to wait is
-// told so at once, so that it can tell a full queue from a dead sidecar.
-func (s *Server) await(w http.ResponseWriter, r *http.Request, ticket *admission.SlotTicket) bool {
-	select {
-	case <-ticket.Decided():
-		return true
-	default:
+// serverLink is a sidecar's side of a connection.
+type serverLink struct {
+	server *Server
+	link   *link
+
+	mu sync.Mutex
+	// tickets holds what waits or has a slot.
+	tickets map[uint64]*admission.SlotTicket
+}
+
+// open returns the number of tickets.
+func (l *serverLink) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.tickets)
+}
+
+func (l *serverLink) put(number uint64, ticket *admission.SlotTicket) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tickets[number] = ticket
+}
+
+// remove takes a ticket out and returns it, or nil.
+func (l *serverLink) remove(number uint64) *admission.SlotTicket {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ticket := l.tickets[number]
+	delete(l.tickets, number)
+	return ticket
+}
+
+// serve reads an entry's messages until the connection ends. An entry with tickets
+// that is silent for too long is gone.
+func (l *serverLink) serve() error {
+	for {
+		limit := 2 * idleLimit
+		if l.open() > 0 {
+			limit = silenceLimit
+		}
+		if err := l.link.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+			return errors.Wrap(err, "deadline")
+		}
+		m, err := l.link.read()
+		if err != nil {
+			return errors.Wrap(err, "message")
+		}
+		l.take(m)
 	}
-	s.head(w)
-	if err := http.NewResponseController(w).Flush(); err != nil {
-		return false
+}
+
+func (l *serverLink) take(m *message) {
+	now := time.Now()
+	switch {
+	case m.Kind == kindPing:
+		l.link.send(m)
+	case m.Kind == kindAsk && m.Ask != nil:
+		l.submit(now, m.Ticket, m.Ask)
+	case m.Kind == kindFinish && m.Result != nil:
+		if ticket := l.remove(m.Ticket); ticket != nil {
+			l.server.queue.Finish(now, ticket, m.Result.outcome())
+		}
+	case m.Kind == kindWithdraw:
+		if ticket := l.remove(m.Ticket); ticket != nil {
+			l.server.queue.Withdraw(now, ticket)
+		}
 	}
+}
+
+// submit queues a request. An entry whose ticket has to wait is told so at once, so
+// that it can tell a full queue from a dead sidecar.
+func (l *serverLink) submit(now time.Time, number uint64, ask *Ask) {
+	s := l.server
+	if !s.healthy() {
+		load := s.queue.Load()
+		s.log(ask, admission.ReasonUnhealthy.String(), load, 0)
+		l.link.send(&message{Kind: kindRefused, Ticket: number, Reason: admission.ReasonUnhealthy.String(), Load: &load})
+		return
+	}
+	s.queue.SetCapacity(now, ask.Slots, ask.MemoryTokens)
+	ticket := s.queue.Submit(now, ask.request(now))
+	l.put(number, ticket)
 	select {
 	case <-ticket.Decided():
-		return true
-	case <-r.Context().Done():
-		return false
+		l.decided(number, ask, ticket, 0)
+		return
+	default:
 	}
+	load := s.queue.Load()
+	l.link.send(&message{Kind: kindQueued, Ticket: number, Load: &load})
+	go func() {
+		select {
+		case <-ticket.Decided():
+			l.decided(number, ask, ticket, time.Since(now))
+		case <-l.link.closed:
+		}
+	}()
 }
 
-func (s *Server) head(w http.ResponseWriter) {
-	load, err := json.Marshal(s.queue.Load())
-	if err != nil {
-		s.logger.Error().Err(err).Msg("the load can't be encoded")
-		return
+// decided tells the entry what became of its ticket.
+func (l *serverLink) decided(number uint64, ask *Ask, ticket *admission.SlotTicket, waited time.Duration) {
+	load := l.server.queue.Load()
+	refusal := ticket.Refusal()
+	switch {
+	case refusal == nil:
+		l.server.log(ask, "granted", load, waited)
+		l.link.send(&message{Kind: kindGranted, Ticket: number, Load: &load})
+	case refusal.Reason == admission.ReasonBarred:
+		// The entry itself withdrew.
+	default:
+		l.remove(number)
+		l.server.log(ask, refusal.Reason.String(), load, waited)
+		l.link.send(&message{
+			Kind: kindRefused, Ticket: number, Reason: refusal.Reason.String(),
+			RetryAfterMS: refusal.RetryAfter.Milliseconds(), Load: &load,
+		})
 	}
-	w.Header().Set(loadHeader, string(load))
 }
 
-func (s *Server) reply(w http.ResponseWriter, ask Ask, d decision, waited time.Duration) {
-	outcome := "granted"
-	if !d.Granted {
-		outcome = d.Reason
+// end frees what the entry held or waited for: nothing is known of its requests.
+func (l *serverLink) end() {
+	l.link.close()
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, ticket := range l.tickets {
+		l.server.queue.Withdraw(now, ticket)
 	}
+}
+
+func (s *Server) log(ask *Ask, outcome string, load admission.SlotLoad, waited time.Duration) {
 	s.logger.Info().Str("request_id", ask.RequestID).Uint32("rank", ask.Rank).Int64("objective_ms", ask.ObjectiveMS).
-		Int("running", d.Load.Running).Int("slots", d.Load.Slots).Dur("waited_ms", waited).Str("outcome", outcome).Msg("slot")
-	if err := json.NewEncoder(w).Encode(d); err != nil {
-		s.logger.Debug().Str("request_id", ask.RequestID).Err(err).Msg("the entry left before the decision")
-		return
-	}
-	if err := http.NewResponseController(w).Flush(); err != nil {
-		s.logger.Debug().Str("request_id", ask.RequestID).Err(err).Msg("the entry left before the decision")
-	}
+		Int("running", load.Running).Int("slots", load.Slots).Dur("waited_ms", waited).Str("outcome", outcome).Msg("slot")
 }
 
 // Drain refuses all waiting and later requests for slots.
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,7 +27,7 @@
 	address string
 }
 
-func newSide(t *testing.T) *side {
+func newSide(t testing.TB) *side {
 	queue := admission.NewSlotQueue(admission.SlotOptions{Slots: 1})
 	server := slots.NewServer(slots.ServerOptions{
 		Queue:  queue,
@@ -31,14 +35,14 @@
 		Logger: zerolog.Nop(),
 	})
 	mux := http.NewServeMux()
-	mux.Handle("POST "+slots.Path, server)
+	mux.Handle("GET "+slots.Path, server)
 	listening := httptest.NewUnstartedServer(nil)
 	listening.Config = transport.NewInternalServer(mux)
 	listening.Start()
 	t.Cleanup(listening.Close)
-	http2 := transport.NewClient("", nil)
-	t.Cleanup(http2.CloseIdleConnections)
-	return &side{queue: queue, client: slots.NewClient(http2), address: listening.Listener.Addr().String()}
+	client := slots.NewClient(nil)
+	t.Cleanup(client.Close)
+	return &side{queue: queue, client: client, address: listening.Listener.Addr().String()}
 }
 
 func ask(id string) slots.Ask { return slots.Ask{RequestID: id, BudgetMS: 10_000, Slots: 1} }
@@ -91,6 +95,95 @@
 	c.Assert(errors.As(err, &unreachable), qt.IsTrue)
 }
 
+// TestDeadEntryFreesItsSlots closes the connection that holds a slot and waits for another.
+func TestDeadEntryFreesItsSlots(t *testing.T) {
+	c := qt.New(t)
+	s := newSide(t)
+	_, err := s.client.Acquire(t.Context(), s.address, ask("a"), nil)
+	c.Assert(err, qt.IsNil)
+	queued, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		_, err := s.client.Acquire(t.Context(), s.address, ask("b"), func(admission.SlotLoad) { close(queued) })
+		ended <- err
+	}()
+	<-queued
+	s.client.Close()
+	var unreachable *slots.UnreachableError
+	c.Assert(errors.As(awaitError(c, ended), &unreachable), qt.IsTrue)
+	eventually(c, "nothing is held or waits", func() bool {
+		load := s.queue.Load()
+		return load.Running == 0 && load.Waiting[0] == 0
+	})
+	_, err = s.client.Acquire(t.Context(), s.address, ask("c"), nil)
+	c.Assert(err, qt.IsNil)
+}
+
+// TestSilentEntryFreesItsSlots takes a slot over a connection and then says nothing,
+// as an entry that lost its power does.
+func TestSilentEntryFreesItsSlots(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newSide(t)
+	conn, err := net.Dial("tcp", s.address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: lane-slots\r\n\r\n", slots.Path)
+	fmt.Fprintln(conn, `{"kind":"ask","ticket":1,"ask":{"request_id":"a","budget_ms":60000,"slots":1}}`)
+	eventually(c, "the slot is held", func() bool { return s.queue.Load().Running == 1 })
+	time.Sleep(3 * time.Second)
+	c.Assert(s.queue.Load().Running, qt.Equals, 1)
+	eventually(c, "the slot is free", func() bool { return s.queue.Load().Running == 0 })
+}
+
+// TestSidecarThatNeverAnswersIsUnreachable asks a listener that reads and says nothing.
+func TestSidecarThatNeverAnswersIsUnreachable(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	client := slots.NewClient(nil)
+	defer client.Close()
+	began := time.Now()
+	_, err = client.Acquire(t.Context(), listener.Addr().String(), ask("a"), nil)
+	var unreachable *slots.UnreachableError
+	c.Assert(errors.As(err, &unreachable), qt.IsTrue)
+	c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
+}
+
+// TestTicketsShareOneConnection counts the connections that a hundred tickets open.
+func TestTicketsShareOneConnection(t *testing.T) {
+	c := qt.New(t)
+	s := newSide(t)
+	var dialled atomic.Int32
+	client := slots.NewClient(func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialled.Add(1)
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	})
+	defer client.Close()
+	var all sync.WaitGroup
+	for i := range 100 {
+		all.Go(func() {
+			lease, err := client.Acquire(t.Context(), s.address, ask(fmt.Sprint("r", i)), nil)
+			if c.Check(err, qt.IsNil) {
+				lease.Finish(admission.Outcome{Sent: true})
+			}
+		})
+	}
+	all.Wait()
+	c.Assert(dialled.Load(), qt.Equals, int32(1))
+	eventually(c, "all slots are free", func() bool { return s.queue.Load().Running == 0 })
+}
+
+// TestPlainRequestIsToldToUpgrade asks the path as a browser would.
+func TestPlainRequestIsToldToUpgrade(t *testing.T) {
+	c := qt.New(t)
+	s := newSide(t)
+	response, err := http.Get("http://" + s.address + slots.Path)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	c.Assert(response.StatusCode, qt.Equals, http.StatusUpgradeRequired)
+}
+
 func awaitError(c *qt.C, ended <-chan error) error {
 	c.Helper()
 	select {
