Leave silent backend servers: repeatable requests go elsewhere, failing engines get one at a time

Change: silence of twice the objective (0.4 s at least) counts as a failure. A safe request leaves a silent server after half its objective or three mean answer times, a resumable stream after its objective, or after two of its longest pauses, if the retry budget pays and another server is there; others wait, as silence is no reason to end an answer that nobody else can give. A sidecar whose engine failed as many requests in a row as it has slots hands out one slot until one is answered. Tests: TestSafeRequestLeavesASilentServer, TestStalledStreamGoesOnElsewhere, TestSilentServerIsPassedOver, TestFailingEngineIsTriedByOne: all four failed before.

--- a/internal/admission/slotpolicy.go
+++ b/internal/admission/slotpolicy.go
@@ -22,6 +22,8 @@
 	hedgeFactor = 3
 	// expectedRest is the part of a request's time in its slot that is left on average.
 	expectedRest = 0.5
+	// probeSlots is the number of requests at a time by which a failing engine is tried.
+	probeSlots = 1
 	// minOccupancy is the occupancy under which a tier counts as idle, in slots.
 	minOccupancy = 0.05
 )
@@ -43,7 +45,7 @@
 // inTime reports whether a new ticket is likely to get a slot in time, after those
 // that go before it. Those stand in other queues too, and get most of their slots there.
 func (q *SlotQueue) inTime(now time.Time, t *SlotTicket) bool {
-	if len(q.waiting) == 0 && len(q.running)+q.outside < q.options.Slots && q.fits(now, t) {
+	if len(q.waiting) == 0 && len(q.running)+q.outside < q.slots() && q.fits(now, t) {
 		return true
 	}
 	ahead := 0
@@ -119,7 +121,17 @@
 	if rank == topRank {
 		return 0
 	}
-	return int(floorPart * float64(q.options.Slots))
+	return int(floorPart * float64(q.slots()))
+}
+
+// slots returns the number of requests that may run at a time. An engine that failed as
+// many requests in a row as it has slots gets one at a time until one is answered: what
+// it says of its own health may be wrong.
+func (q *SlotQueue) slots() int {
+	if q.failedInRow >= q.options.Slots {
+		return min(probeSlots, q.options.Slots)
+	}
+	return q.options.Slots
 }
 
 // slotsFor returns the slots that a tier and those below it may use together: what
@@ -130,10 +142,10 @@
 		above += q.occupied[higher].mean(now)
 	}
 	if above < minOccupancy {
-		return q.options.Slots
+		return q.slots()
 	}
 	reserve := int(math.Round(above + reserveSpread*math.Sqrt(above)))
-	return max(q.options.Slots-reserve, q.floor(rank), 1)
+	return max(q.slots()-reserve, q.floor(rank), 1)
 }
 
 // fits reports whether a ticket may run beside what runs already.
--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -55,6 +55,8 @@
 	lastRefusal   time.Time
 	speed         speed
 	failures      mean
+	// failedInRow counts the requests that failed since the last one that didn't.
+	failedInRow int
 }
 
 // SlotTicket is a request's place in a SlotQueue, then its slot.
@@ -79,7 +81,8 @@
 type Outcome struct {
 	// Sent says that the request was handed to the backend server.
 	Sent bool
-	// Failed says that the backend server broke off, failed or answered wrongly.
+	// Failed says that the backend server broke off, failed, answered wrongly or stayed
+	// silent for long.
 	Failed bool
 	// FirstToken is the time from the dispatch to the first event; 0: none came.
 	FirstToken time.Duration
@@ -217,6 +220,12 @@
 		failed = 1
 	}
 	q.failures.add(failed)
+	switch {
+	case outcome.Failed:
+		q.failedInRow++
+	case outcome.FirstToken > 0:
+		q.failedInRow = 0
+	}
 	if outcome.Failed || outcome.FirstToken <= 0 {
 		return
 	}
@@ -243,7 +252,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	load := SlotLoad{
-		Slots:       q.options.Slots,
+		Slots:       q.slots(),
 		Running:     len(q.running) + q.outside,
 		FirstToken:  seconds(q.speed.firstToken.at(ReferencePrompt)),
 		SlotTime:    seconds(q.speed.service.value),
@@ -261,7 +270,7 @@
 // schedule grants free slots and refuses what waited too long.
 func (q *SlotQueue) schedule(now time.Time) {
 	q.expire(now)
-	for len(q.running)+q.outside < q.options.Slots {
+	for len(q.running)+q.outside < q.slots() {
 		t := q.next(now)
 		if t == nil {
 			return
--- a/internal/admission/slotqueue_test.go
+++ b/internal/admission/slotqueue_test.go
@@ -96,3 +96,56 @@
 	c.Assert(len(seen) > 10, qt.IsTrue)
 	c.Assert(at(2900*time.Millisecond) < 4*time.Second, qt.IsTrue)
 }
+
+// TestFailingEngineIsTriedByOne plays an engine that says it is well and answers
+// nothing: it gets one request at a time until one is answered.
+func TestFailingEngineIsTriedByOne(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	q := admission.NewSlotQueue(admission.SlotOptions{Slots: 3})
+	submit := func() *admission.SlotTicket {
+		return q.Submit(now, admission.Request{Deadline: now.Add(time.Minute)})
+	}
+	granted := func(tickets ...*admission.SlotTicket) int {
+		n := 0
+		for _, ticket := range tickets {
+			select {
+			case <-ticket.Decided():
+				n++
+			default:
+			}
+		}
+		return n
+	}
+	first := []*admission.SlotTicket{submit(), submit(), submit()}
+	c.Assert(granted(first...), qt.Equals, 3)
+	waiting := []*admission.SlotTicket{submit(), submit(), submit(), submit()}
+	for _, ticket := range first {
+		now = now.Add(time.Second)
+		q.Finish(now, ticket, admission.Outcome{Sent: true, Failed: true})
+	}
+	// Two slots were freed and taken before the third failure.
+	c.Assert(granted(waiting...), qt.Equals, 2)
+	c.Assert(q.Load().Slots, qt.Equals, 1)
+	for i, ticket := range waiting[:2] {
+		now = now.Add(time.Second)
+		q.Finish(now, ticket, admission.Outcome{Sent: true, Failed: true})
+		c.Assert(granted(waiting...), qt.Equals, 2+i)
+	}
+	q.Finish(now, waiting[2], admission.Outcome{Sent: true, FirstToken: time.Millisecond})
+	c.Assert(q.Load().Slots, qt.Equals, 3)
+	c.Assert(granted(waiting...), qt.Equals, 4)
+}
+
+// TestEngineThatFailsSomeKeepsItsSlots plays an engine that fails every other request.
+func TestEngineThatFailsSomeKeepsItsSlots(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	q := admission.NewSlotQueue(admission.SlotOptions{Slots: 3})
+	for i := range 40 {
+		now = now.Add(time.Second)
+		ticket := q.Submit(now, admission.Request{Deadline: now.Add(time.Minute)})
+		q.Finish(now, ticket, admission.Outcome{Sent: true, Failed: i%2 == 0, FirstToken: time.Millisecond})
+		c.Assert(q.Load().Slots, qt.Equals, 3)
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -75,6 +75,8 @@
 		g.retries.first(one.service, p.firstSent)
 	}
 	sent := time.Now()
+	ctx, stall := g.watchStall(ctx, one, p)
+	defer stall.stop()
 	answer, err := g.options.Upstream.Do(ctx, at.server.ID, at.server.Address, request)
 	var unsent *upstream.NotSentError
 	if errors.As(err, &unsent) {
@@ -86,13 +88,13 @@
 	}
 	info := g.options.Codec.DecodeAnswer(answer.Header)
 	defer func() { answer.Close(info.KeepAlive) }()
-	result := g.judge(one, p, answer, info, sent)
+	result := g.judge(one, p, answer, info, sent, stall)
 	result.load, result.hasLoad = info.Load, info.HasLoad
 	return result
 }
 
 // judge decides what an answer means, and relays a good one.
-func (g *Gateway) judge(one *call, p *progress, answer *upstream.Answer, info AnswerInfo, sent time.Time) sendResult {
+func (g *Gateway) judge(one *call, p *progress, answer *upstream.Answer, info AnswerInfo, sent time.Time, stall *stallWatch) sendResult {
 	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
@@ -102,7 +104,7 @@
 	case success && (!info.Stamped || info.Encoded || info.RequestID != one.info.ID):
 		return g.discard(answer, verdictFailed, "not the backend server's own answer to this request")
 	case success && one.stream():
-		return g.relayEvents(p, answer, sent)
+		return g.relayEvents(p, answer, sent, stall)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxReplyBytes+1))
 	if err == nil && len(body) > maxReplyBytes {
@@ -145,7 +147,7 @@
 }
 
 // relayEvents passes the events of a stream on as they come.
-func (g *Gateway) relayEvents(p *progress, answer *upstream.Answer, sent time.Time) sendResult {
+func (g *Gateway) relayEvents(p *progress, answer *upstream.Answer, sent time.Time, stall *stallWatch) sendResult {
 	result := sendResult{verdict: verdictFailed}
 	p.relay.open(answer.Status, answer.Header)
 	events := newEventReader(answer)
@@ -158,6 +160,7 @@
 			result.err = err
 			return result
 		}
+		stall.progress()
 		if result.events++; result.firstEvent == 0 {
 			result.firstEvent = time.Since(sent)
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -118,6 +118,10 @@
 		route("stream", fleet.KindStreaming, false, 2*time.Second),
 		route("resumable", fleet.KindStreaming, true, 2*time.Second),
 		route("short", fleet.KindUnsafe, false, 200*time.Millisecond),
+		{
+			Name: "brief", Host: "127.0.0.1", PathPrefix: "/brief/", Kind: fleet.KindUnsafe, Timeout: 500 * time.Millisecond,
+			Objective: 100 * time.Millisecond, MaxServers: 1, Shares: []fleet.Share{{Service: "plain", Weight: 1}},
+		},
 		{
 			Name: "low", Host: "127.0.0.1", PathPrefix: "/low/", Kind: fleet.KindUnsafe, Rank: 2, Timeout: 2 * time.Second,
 			Objective: 300 * time.Millisecond, MaxServers: 1, Shares: []fleet.Share{{Service: "plain", Weight: 1}},
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,9 @@
 	status     int
 	// reply is the last failure that a backend server answered with.
 	reply *reply
+	// stalled is set when the last send was given up for a further one, which is paid
+	// for from the retry budget already.
+	stalled atomic.Bool
 }
 
 // verdict says what became of one send.
@@ -104,6 +108,9 @@
 	if steady.Until(one.deadline) < leastRetryTime {
 		return false
 	}
+	if p.stalled.Swap(false) {
+		return true
+	}
 	switch last {
 	case verdictUnsent:
 		p.unsent++
@@ -151,9 +158,12 @@
 	p.server = at.server.ID
 	p.tried[at.server.ID] = true
 	result := g.exchange(ctx, one, p, at)
+	// A caller that leaves, or a deadline, says nothing of the backend server unless that
+	// was silent for long.
+	cut := ctx.Err() != nil && (result.firstEvent > 0 || time.Since(sent) < one.silenceLimit())
 	outcome := admission.Outcome{
 		Sent:         result.verdict == verdictAnswered || result.verdict == verdictFailed,
-		Failed:       result.verdict == verdictFailed && ctx.Err() == nil,
+		Failed:       result.verdict == verdictFailed && !cut,
 		FirstToken:   result.firstEvent,
 		OutputTokens: result.events,
 	}
@@ -165,7 +175,7 @@
 		p.firstEvent = result.firstEvent
 	}
 	at.release(outcome)
-	g.servers.finished(at.server.ID, result, time.Since(sent), ctx.Err() != nil)
+	g.servers.finished(at.server.ID, result, time.Since(sent), cut)
 	return result.verdict, result.err
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -187,6 +187,13 @@
 	return best
 }
 
+// typicalTime returns the mean time to an answer of some servers.
+func (t *serverTable) typicalTime(list []fleet.Server) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(t.typicalSeconds(list) * float64(time.Second))
+}
+
 func (t *serverTable) typicalSeconds(list []fleet.Server) float64 {
 	sum, n := 0.0, 0.0
 	for _, server := range list {
--- /dev/null
+++ b/internal/gateway/stall_test.go
@@ -0,0 +1,94 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// silent reads requests and never answers.
+func silent(*http.Request, net.Conn) {}
+
+// TestSafeRequestLeavesASilentServer plays a hung server beside a good one.
+func TestSafeRequestLeavesASilentServer(t *testing.T) {
+	w := newWorld(t, silent, whole(200, "hello"))
+	for range 8 {
+		// The good server's usual answer time becomes known.
+		_, _, err := w.call("GET", "/safe/x", "")
+		w.c.Assert(err, qt.IsNil)
+	}
+	began := time.Now()
+	for range 4 {
+		response, body, err := w.call("GET", "/safe/x", "")
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(response.StatusCode, qt.Equals, 200)
+		w.c.Assert(body, qt.Equals, "hello")
+	}
+	w.c.Assert(time.Since(began) < 1500*time.Millisecond, qt.IsTrue)
+}
+
+// TestUnsafeRequestWaitsForASilentServer answers late: nobody else may be asked.
+func TestUnsafeRequestWaitsForASilentServer(t *testing.T) {
+	var calls atomic.Int64
+	slow := func(request *http.Request, conn net.Conn) {
+		calls.Add(1)
+		time.Sleep(1200 * time.Millisecond)
+		whole(200, "late")(request, conn)
+	}
+	w := newWorld(t, slow, slow)
+	response, body, err := w.call("POST", "/unsafe/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, 200)
+	w.c.Assert(body, qt.Equals, "late")
+	w.c.Assert(calls.Load(), qt.Equals, int64(1))
+}
+
+// TestStalledStreamGoesOnElsewhere plays an engine that goes dark in the middle of a
+// stream, with its connection open.
+func TestStalledStreamGoesOnElsewhere(t *testing.T) {
+	for _, before := range []int{0, 2} {
+		var calls atomic.Int64
+		s := func(request *http.Request, conn net.Conn) {
+			last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+			if calls.Add(1) > 1 {
+				events(request, conn, last+1, 3, false)
+				return
+			}
+			if before > 0 {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s1\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+			}
+			for i := 1; i <= before; i++ {
+				text := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+				fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+			}
+		}
+		w := newWorld(t, s, s)
+		began := time.Now()
+		_, body, err := w.call("POST", "/resumable/x", "p")
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(body, qt.Equals, threeEvents)
+		w.c.Assert(calls.Load(), qt.Equals, int64(2))
+		w.c.Assert(time.Since(began) < 1500*time.Millisecond, qt.IsTrue)
+	}
+}
+
+// TestSilentServerIsPassedOver sends requests that may run once at a hung server beside
+// a good one: after some have waited in vain, the others go to the good one.
+func TestSilentServerIsPassedOver(t *testing.T) {
+	w := newWorld(t, silent, whole(200, "hello"))
+	failed := 0
+	for range 12 {
+		response, _, err := w.call("POST", "/brief/x", "p")
+		w.c.Assert(err, qt.IsNil)
+		if response.StatusCode != 200 {
+			failed++
+		}
+	}
+	w.c.Assert(failed <= 4, qt.IsTrue, qt.Commentf("%d of 12 failed", failed))
+}
