Try: read long prompts in runs that the streams beside them can bear

The model of an engine in steps (enginemodel_test.go) shows streams that pause for too long while a slow engine reads prompts one after the other.

--- /dev/null
+++ b/internal/admission/enginemodel_test.go
@@ -0,0 +1,157 @@
+package admission_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lagoonlane/lagoonlane/internal/admission"
+)
+
+// The model of an engine: it works in steps. Each step makes one token of each request
+// that is past its prompt, and reads a chunk of the prompts of the others, the first
+// come first. A step with a chunk takes many times as long as one without.
+const (
+	modelStep = 5 * time.Millisecond
+	// modelChunk is the prompt tokens that one step reads at most.
+	modelChunk = 2048
+	// modelEventTokens is the number of tokens in one event of a stream.
+	modelEventTokens = 4
+	// modelGap is the longest pause between two events that callers accept.
+	modelGap = 300 * time.Millisecond
+)
+
+// modelRequest is one request in an engine.
+type modelRequest struct {
+	prompt int
+	tokens int
+	// made counts the tokens that were made, last is when the last event went out.
+	made int
+	last time.Time
+	// pause is the longest time between two events.
+	pause time.Duration
+	first func(at time.Time)
+	end   func(pause time.Duration)
+}
+
+// engineModel is one engine in virtual time.
+type engineModel struct {
+	s       *sim
+	slow    float64
+	running []*modelRequest
+	busy    bool
+}
+
+func (m *engineModel) add(r *modelRequest) {
+	m.running = append(m.running, r)
+	if !m.busy {
+		m.busy = true
+		m.step()
+	}
+}
+
+// step plays one step and goes on while there is work.
+func (m *engineModel) step() {
+	if len(m.running) == 0 {
+		m.busy = false
+		return
+	}
+	chunk := modelChunk
+	var making []*modelRequest
+	for _, r := range m.running {
+		if r.prompt == 0 {
+			making = append(making, r)
+			continue
+		}
+		n := min(chunk, r.prompt)
+		chunk -= n
+		if r.prompt -= n; r.prompt == 0 && n > 0 {
+			making = append(making, r)
+		}
+	}
+	took := time.Duration(m.slow * (float64(modelStep) + float64(modelChunk-chunk)/simPromptRate*float64(time.Second)))
+	m.s.after(took, func() {
+		for _, r := range making {
+			m.token(r)
+		}
+		m.step()
+	})
+}
+
+// token makes one token of a request.
+func (m *engineModel) token(r *modelRequest) {
+	r.made++
+	if r.made == 1 {
+		r.last = m.s.now
+		r.first(m.s.now)
+	}
+	if r.made%modelEventTokens == 0 || r.made >= r.tokens {
+		r.pause = max(r.pause, m.s.now.Sub(r.last))
+		r.last = m.s.now
+	}
+	if r.made < r.tokens {
+		return
+	}
+	for i, other := range m.running {
+		if other == r {
+			m.running = append(m.running[:i], m.running[i+1:]...)
+			break
+		}
+	}
+	r.end(r.pause)
+}
+
+// serveByModel runs a request at the model of its engine. It is on time if its first
+// event is and no pause is too long.
+func (s *sim) serveByModel(r *simRequest, e int, ticket *admission.SlotTicket, c class) {
+	granted := s.now
+	var first time.Duration
+	inTime := false
+	s.models[e].add(&modelRequest{
+		prompt: r.prompt, tokens: max(int(r.output), 1),
+		first: func(at time.Time) {
+			first = at.Sub(granted)
+			inTime = at.Sub(r.arrived) <= c.objective
+		},
+		end: func(pause time.Duration) {
+			switch {
+			case inTime && pause <= modelGap:
+				s.results[r.class].onTime++
+			default:
+				s.results[r.class].late++
+			}
+			if inTime && pause > modelGap {
+				s.results[r.class].paused++
+			}
+			s.queues[e].Finish(s.now, ticket, admission.Outcome{Sent: true, FirstToken: first})
+		},
+	})
+}
+
+// TestLongPromptsBesideShortOnes plays prompts of very unlike length at engines of which
+// most are slow: reading several long prompts in a row stops the streams that run beside.
+func TestLongPromptsBesideShortOnes(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := qt.New(t)
+			s := newSim(seed, unlike)
+			s.promptSpread = 1
+			for _, slow := range unlike {
+				s.models = append(s.models, &engineModel{s: s, slow: slow})
+			}
+			results := s.run(mix(0.8))
+			t.Logf("%+v", results)
+			for i, r := range results {
+				c.Check(r.paused <= int(math.Ceil(maxPausedPart*float64(r.onTime+r.late))), qt.IsTrue, qt.Commentf("tier %d %+v", i, r))
+			}
+			checkProtected(c, "long prompts", results)
+		})
+	}
+}
+
+// maxPausedPart is the part of the served streams that may pause for too long: those
+// beside a prompt that is too long by itself.
+const maxPausedPart = 0.05
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -36,7 +36,10 @@
 	// SlotQueue goes by it.
 	Objective time.Time
 	// LateHold is how long past its objective the request may still wait for a slot.
-	LateHold     time.Duration
+	LateHold time.Duration
+	// MaxEventGap is the longest pause between two events of the answer that the caller
+	// accepts; 0: any.
+	MaxEventGap  time.Duration
 	Route        string
 	Version      string
 	PromptTokens uint32
--- a/internal/admission/slotpolicy.go
+++ b/internal/admission/slotpolicy.go
@@ -153,6 +153,9 @@
 	if most := q.options.MemoryTokens; most > 0 && len(q.running) > 0 && q.memory+t.tokens() > most {
 		return false
 	}
+	if !q.pausesStayShort(now, t) {
+		return false
+	}
 	below := 0
 	for rank := t.request.Rank; rank <= MaxRank; rank++ {
 		below += q.byRank[rank]
--- a/internal/admission/slotqueue_load_test.go
+++ b/internal/admission/slotqueue_load_test.go
@@ -56,7 +56,8 @@
 )
 
 // result counts the requests of a class.
-type result struct{ asked, onTime, late, refused int }
+// paused counts the late ones that were late for a pause only.
+type result struct{ asked, onTime, late, refused, paused int }
 
 func (r result) share() float64 { return float64(r.onTime) / float64(max(r.asked, 1)) }
 
@@ -69,6 +70,10 @@
 	now     time.Time
 	events  eventHeap
 	results []result
+	// models are the engines in steps; without them an answer takes the time of its tokens.
+	models []*engineModel
+	// promptSpread is the standard deviation of the logarithm of prompt lengths.
+	promptSpread float64
 }
 
 type simEvent struct {
@@ -106,6 +111,7 @@
 	left    int
 	done    bool
 	output  float64
+	prompt  int
 }
 
 func newSim(seed uint64, slow []float64) *sim {
@@ -161,6 +167,7 @@
 // ask puts a request into the queues of some engines.
 func (s *sim) ask(i int, c class) {
 	r := &simRequest{class: i, arrived: s.now, at: map[int]*admission.SlotTicket{}, output: c.output * math.Exp(s.random.NormFloat64()-0.5)}
+	r.prompt = int(float64(c.prompt) * math.Exp(s.promptSpread*s.random.NormFloat64()-s.promptSpread*s.promptSpread/2))
 	s.results[i].asked++
 	for _, e := range s.random.Perm(len(s.queues)) {
 		if s.down[e] || r.left >= simTickets || r.done {
@@ -168,7 +175,7 @@
 		}
 		ticket := s.queues[e].Submit(s.now, admission.Request{
 			ID: fmt.Sprint(s.results[i].asked), Rank: c.rank, Deadline: s.now.Add(c.deadline), Objective: s.now.Add(c.objective),
-			LateHold: c.lateHold, PromptTokens: uint32(c.prompt), OutputTokens: uint32(c.output),
+			LateHold: c.lateHold, PromptTokens: uint32(r.prompt), OutputTokens: uint32(c.output), MaxEventGap: modelGap,
 		})
 		r.at[e], r.left = ticket, r.left+1
 		s.follow(r, e, ticket, c)
@@ -205,7 +212,11 @@
 }
 
 func (s *sim) serve(r *simRequest, e int, ticket *admission.SlotTicket, c class) {
-	first := time.Duration(float64(c.prompt)/simPromptRate*s.slow[e]*float64(time.Second)) + simTokenTime
+	if s.models != nil {
+		s.serveByModel(r, e, ticket, c)
+		return
+	}
+	first := time.Duration(float64(r.prompt)/simPromptRate*s.slow[e]*float64(time.Second)) + simTokenTime
 	if s.now.Add(first).Sub(r.arrived) <= c.objective {
 		s.results[r.class].onTime++
 	} else {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -147,17 +147,18 @@
 func (t *tickets) ask(server fleet.Server, address string) {
 	one := t.one
 	lease, err := t.g.options.Slots.Acquire(t.ctx, address, slots.Ask{
-		RequestID:    one.info.ID,
-		Account:      one.accountName(),
-		Rank:         uint32(max(one.rank(), 0)),
-		BudgetMS:     steady.Until(one.deadline).Milliseconds(),
-		ObjectiveMS:  one.objectiveLeft().Milliseconds(),
-		HasObjective: one.route.Objective > 0,
-		LateHoldMS:   one.lateHold().Milliseconds(),
-		PromptTokens: one.info.PromptTokens,
-		OutputTokens: one.outputTokens(),
-		Slots:        max(server.Slots, one.engine.Slots),
-		MemoryTokens: one.engine.MemoryTokens,
+		RequestID:     one.info.ID,
+		Account:       one.accountName(),
+		Rank:          uint32(max(one.rank(), 0)),
+		BudgetMS:      steady.Until(one.deadline).Milliseconds(),
+		ObjectiveMS:   one.objectiveLeft().Milliseconds(),
+		HasObjective:  one.route.Objective > 0,
+		LateHoldMS:    one.lateHold().Milliseconds(),
+		MaxEventGapMS: one.route.MaxEventGap.Milliseconds(),
+		PromptTokens:  one.info.PromptTokens,
+		OutputTokens:  one.outputTokens(),
+		Slots:         max(server.Slots, one.engine.Slots),
+		MemoryTokens:  one.engine.MemoryTokens,
 	}, func(load admission.SlotLoad) { t.g.servers.sawLoad(server.ID, load) })
 	t.results <- ticketResult{server: server, lease: lease, err: err}
 }
--- a/internal/slots/message.go
+++ b/internal/slots/message.go
@@ -40,8 +40,10 @@
 	HasObjective bool  `json:"has_objective,omitempty"`
 	ObjectiveMS  int64 `json:"objective_ms,omitempty"`
 	LateHoldMS   int64 `json:"late_hold_ms,omitempty"`
-	PromptTokens int   `json:"prompt_tokens,omitempty"`
-	OutputTokens int   `json:"output_tokens,omitempty"`
+	// MaxEventGapMS is the longest pause between events that the caller accepts; 0: any.
+	MaxEventGapMS int64 `json:"max_event_gap_ms,omitempty"`
+	PromptTokens  int   `json:"prompt_tokens,omitempty"`
+	OutputTokens  int   `json:"output_tokens,omitempty"`
 	// Slots and MemoryTokens are the engine's capacity as the entry knows it.
 	Slots        int `json:"slots,omitempty"`
 	MemoryTokens int `json:"memory_tokens,omitempty"`
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -289,6 +289,7 @@
 		PromptTokens: uint32(max(a.PromptTokens, 0)),
 		OutputTokens: uint32(max(a.OutputTokens, 0)),
 		LateHold:     time.Duration(a.LateHoldMS) * time.Millisecond,
+		MaxEventGap:  time.Duration(a.MaxEventGapMS) * time.Millisecond,
 	}
 	if a.HasObjective {
 		r.Objective = now.Add(time.Duration(a.ObjectiveMS) * time.Millisecond)
