--- a/internal/admission/slotpolicy.go
+++ b/internal/admission/slotpolicy.go
@@ -153,7 +153,7 @@
 	if most := q.options.MemoryTokens; most > 0 && len(q.running) > 0 && q.memory+t.tokens() > most {
 		return false
 	}
-	if !q.pausesStayShort(now, t) {
+	if !q.sparesStreams(now, t) {
 		return false
 	}
 	below := 0
--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -55,7 +55,6 @@
 	lastRefusal   time.Time
 	speed         speed
 	failures      mean
-	prefill       prefillRun
 	// failedInRow counts the requests that failed since the last one that didn't.
 	failedInRow int
 }
@@ -312,7 +311,6 @@
 	q.byRank[t.request.Rank]++
 	q.occupied[t.request.Rank].change(now, 1)
 	q.memory += t.tokens()
-	q.prefill.add(now, q.prefillTime(t))
 	close(t.decided)
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -151,6 +151,7 @@
 	result := sendResult{verdict: verdictFailed}
 	p.relay.open(answer.Status, answer.Header)
 	events := newEventReader(answer)
+	last := time.Time{}
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -161,9 +162,13 @@
 			return result
 		}
 		stall.progress()
+		now := time.Now()
 		if result.events++; result.firstEvent == 0 {
-			result.firstEvent = time.Since(sent)
+			result.firstEvent = now.Sub(sent)
+		} else {
+			p.longestPause = max(p.longestPause, now.Sub(last))
 		}
+		last = now
 		if err := p.relay.event(event, events.buffered() > 0); err != nil {
 			result.err = err
 			return result
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,7 +194,8 @@
 			Int("rank", one.rank()).Int("prompt_tokens", one.info.PromptTokens).Int("output_tokens", one.info.MaxOutputTokens)
 	}
 	if p.sends > 0 {
-		event.Str("backend_server", p.server).Int("sends", p.sends).Dur("first_event_ms", p.firstEvent)
+		event.Str("backend_server", p.server).Int("sends", p.sends).Dur("first_event_ms", p.firstEvent).
+			Dur("longest_pause_ms", p.longestPause)
 	}
 	event.Dur("waited_ms", p.waited)
 	if failure == nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -40,7 +40,9 @@
 	firstSent  time.Time
 	waited     time.Duration
 	firstEvent time.Duration
-	status     int
+	// longestPause is the longest time between two events.
+	longestPause time.Duration
+	status       int
 	// reply is the last failure that a backend server answered with.
 	reply *reply
 	// stalled is set when the last send was given up for a further one, which is paid
