Admit requests against the account limit by their whole size

Cause: a bucket that held one token admitted a request of any size and was overdrawn, so that one large request kept all small ones out for a second and more. Change: a request is admitted if the bucket holds all its tokens, one that is larger than the burst when the bucket is full; that is what internal/limit.Limiter does already. When the bucket is low, each entry saves its share of the limit and spends that.

--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -14,9 +14,6 @@
 	// startLevel is the part of its burst that a bucket holds in a process that knows
 	// nothing of the past.
 	startLevel = 0.25
-	// shareMargin lets an entry use more than its share while the bucket is full
-	// enough, as demand moves between entries.
-	shareMargin = 1.5
 	// lowLevel is the part of the burst below which an entry keeps to its share.
 	lowLevel = 0.5
 	// longestRetryAfter bounds what a caller over its limit is told to wait.
@@ -61,11 +58,9 @@
 	at     time.Time
 	spent  float64
 	demand rate
-	// since counts the tokens admitted since the others were heard last.
-	since float64
-	// levelThen is the level when the others were heard last.
-	levelThen float64
-	heardAt   time.Time
+	// credit is what this entry has saved of its share, at creditAt.
+	credit   float64
+	creditAt time.Time
 }
 
 // peerUse is what was heard of another entry.
@@ -101,14 +96,15 @@
 	defer p.mu.Unlock()
 	a := p.account(name, limit, now)
 	p.carry(now)
-	a.fill(now)
 	a.demand.add(tokens, now)
-	if wait := p.wait(a, name, now); wait > 0 {
+	share := p.share(a, name, now)
+	a.save(now, share)
+	if wait := p.wait(a, tokens, share); wait > 0 {
 		return errors.WithStack(&ExceededError{Account: name, Kind: KindTokens, RetryAfter: min(wait, longestRetryAfter)})
 	}
 	a.level -= tokens
+	a.credit = max(a.credit-tokens, 0)
 	a.spent += tokens
-	a.since += tokens
 	return nil
 }
 
@@ -118,29 +114,25 @@
 	defer p.mu.Unlock()
 	if a := p.accounts[name]; a != nil {
 		a.spent -= tokens
-		a.since -= tokens
+		a.credit += tokens
 		a.level += tokens
 	}
 }
 
-// wait returns how long until the next request may be admitted; 0: now.
-func (p *Pool) wait(a *pooled, name string, now time.Time) time.Duration {
-	if a.level <= 0 {
-		return timeFor(-a.level+1, a.rate.PerSecond)
+// wait returns how long until a request of some tokens may be admitted; 0: now. One
+// that is larger than the burst needs a full bucket.
+func (p *Pool) wait(a *pooled, tokens, share float64) time.Duration {
+	need := min(tokens, a.rate.Burst)
+	if a.level < need {
+		return timeFor(need-a.level, a.rate.PerSecond)
 	}
-	if p.entries == 1 || (p.quorate && a.level > lowLevel*a.rate.Burst) {
+	if p.entries == 1 || (p.quorate && a.level-need >= lowLevel*a.rate.Burst) {
 		return 0
 	}
-	share, margin := p.share(a, name, now), shareMargin
-	if !p.quorate {
-		// What the others use now is not known: an equal part is safe.
-		share, margin = 1/float64(p.entries), 1
-	}
-	mine := (max(a.levelThen, 0) + a.rate.PerSecond*now.Sub(a.heardAt).Seconds()) * min(1, share*margin)
-	if a.since <= mine {
-		return 0
+	if a.credit < need {
+		return timeFor(need-a.credit, a.rate.PerSecond*share)
 	}
-	return timeFor(a.since-mine+1, a.rate.PerSecond*share)
+	return 0
 }
 
 func timeFor(tokens, perSecond float64) time.Duration {
@@ -150,9 +142,13 @@
 	return max(time.Duration(tokens/perSecond*float64(time.Second)), time.Millisecond)
 }
 
-// share returns this entry's part of the demand for an account.
+// share returns this entry's part of the limit, by its part of the demand. Where the
+// demand of the others isn't known, an equal part is safe.
 func (p *Pool) share(a *pooled, name string, now time.Time) float64 {
 	equal := 1 / float64(p.entries)
+	if !p.quorate {
+		return equal
+	}
 	own := a.demand.perSecond(now)
 	total := own
 	for _, peer := range p.peers {
@@ -167,8 +163,7 @@
 func (p *Pool) account(name string, limit Rate, now time.Time) *pooled {
 	a := p.accounts[name]
 	if a == nil {
-		a = &pooled{rate: limit, level: startLevel * limit.Burst, at: now, heardAt: now}
-		a.levelThen = a.level
+		a = &pooled{rate: limit, level: startLevel * limit.Burst, at: now, credit: startLevel * limit.Burst, creditAt: now}
 		p.accounts[name] = a
 	}
 	if a.rate != limit {
@@ -179,6 +174,15 @@
 	return a
 }
 
+// save fills the bucket and adds this entry's share to its credit.
+func (a *pooled) save(now time.Time, share float64) {
+	a.fill(now)
+	if elapsed := now.Sub(a.creditAt).Seconds(); elapsed > 0 {
+		a.credit = min(a.credit+elapsed*a.rate.PerSecond*share, a.rate.Burst)
+		a.creditAt = now
+	}
+}
+
 func (a *pooled) fill(now time.Time) {
 	if elapsed := now.Sub(a.at).Seconds(); elapsed > 0 {
 		a.level = min(a.level+elapsed*a.rate.PerSecond, a.rate.Burst)
@@ -249,7 +253,6 @@
 		case before != nil:
 			a.level -= told.Spent
 		}
-		a.levelThen, a.heardAt, a.since = a.level, now, 0
 	}
 	if len(use) > 0 {
 		p.adopted = true
