Keep to account limits when all entries of a large deployment start anew

A new entry took itself for the only one until it heard others, and did not count what they had spent before it heard them first. Change: entries that registered themselves count until a call to them fails; those that have told nothing yet are taken to have the same demand; the bucket counts as well filled only where most others were heard; entries tell how long they run, and all that one has spent since this one started counts.

--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -225,7 +225,7 @@
 	e.servers = platform.NewServerSource(e.directory, n.logger)
 	e.servers.Gone = e.upstream.Forget
 	peers := transport.NewClient("", nil)
-	pool := limit.NewPool()
+	pool := limit.NewPool(time.Now())
 	e.roster = roster.New(roster.Options{
 		ID: n.settings.ID, Address: n.settings.Internal, Boot: rand.Text(), Client: peers, Pool: pool,
 		Configuration: e.configuration.Configuration,
--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -21,6 +21,9 @@
 	// largestKept is the part of the largest request's size that is remembered after
 	// one more request.
 	largestKept = 0.95
+	// startTogether is how much earlier than this one another entry may have started to
+	// count as started together with it, such as after a loss of all.
+	startTogether = 2 * time.Second
 	// longestRetryAfter bounds what a caller over its limit is told to wait.
 	longestRetryAfter = 5 * time.Second
 )
@@ -54,6 +57,8 @@
 	// quorate is true while this entry hears most of the entries.
 	quorate bool
 	adopted bool
+	// began is when this entry began to count.
+	began time.Time
 }
 
 // pooled is one account's bucket.
@@ -82,9 +87,9 @@
 	estimated map[string]float64
 }
 
-// NewPool returns a pool of one entry.
-func NewPool() *Pool {
-	return &Pool{accounts: map[string]*pooled{}, peers: map[string]*peerUse{}, entries: 1, quorate: true}
+// NewPool returns a pool of one entry that begins to count at a moment.
+func NewPool(began time.Time) *Pool {
+	return &Pool{accounts: map[string]*pooled{}, peers: map[string]*peerUse{}, entries: 1, quorate: true, began: began}
 }
 
 // SetEntries sets the number of entries alive, this one included, and whether this
@@ -106,9 +111,9 @@
 	a := p.account(name, limit, now)
 	p.carry(now)
 	a.demand.add(tokens, now)
-	share := p.share(a, name, now)
+	share, informed := p.share(a, name, now)
 	a.save(now, share, tokens)
-	if wait := p.wait(a, tokens, share); wait > 0 {
+	if wait := p.wait(a, tokens, share, informed); wait > 0 {
 		return errors.WithStack(&ExceededError{Account: name, Kind: KindTokens, RetryAfter: min(wait, longestRetryAfter)})
 	}
 	a.level -= tokens
@@ -130,12 +135,12 @@
 
 // wait returns how long until a request of some tokens may be admitted; 0: now. One
 // that is larger than the burst needs a full bucket.
-func (p *Pool) wait(a *pooled, tokens, share float64) time.Duration {
+func (p *Pool) wait(a *pooled, tokens, share float64, informed bool) time.Duration {
 	need := min(tokens, a.rate.Burst)
 	if a.level < need {
 		return timeFor(need-a.level, a.rate.PerSecond)
 	}
-	if p.entries == 1 || (p.quorate && a.level-need >= lowLevel*a.rate.Burst) {
+	if p.entries == 1 || (informed && a.level-need >= lowLevel*a.rate.Burst) {
 		return 0
 	}
 	if a.credit < need {
@@ -151,30 +156,36 @@
 	return max(time.Duration(tokens/perSecond*float64(time.Second)), time.Millisecond)
 }
 
-// share returns this entry's part of the limit, by its part of the demand. Where the
-// demand of the others isn't known, an equal part is safe.
-func (p *Pool) share(a *pooled, name string, now time.Time) float64 {
+// share returns this entry's part of the limit, by its part of the demand, and whether it
+// has heard of most of the others. Where the demand of the others isn't known, an equal
+// part is safe.
+func (p *Pool) share(a *pooled, name string, now time.Time) (share float64, informed bool) {
 	equal := 1 / float64(p.entries)
 	if !p.quorate {
-		return equal
+		return equal, false
 	}
 	own := a.demand.perSecond(now)
-	total := own
+	total, heard := own, 0
 	for _, peer := range p.peers {
 		if !peer.silent {
 			total += peer.accounts[name].Demand
+			heard++
 		}
 	}
+	missing := max(p.entries-1-heard, 0)
+	// Those that have told nothing yet are taken to be like this one.
+	total += own * float64(missing)
 	if total <= 0 {
-		return equal
+		return equal, missing <= heard
 	}
-	return max(own/total, equal)
+	return max(own/total, equal), missing <= heard
 }
 
 func (p *Pool) account(name string, limit Rate, now time.Time) *pooled {
 	a := p.accounts[name]
 	if a == nil {
-		a = &pooled{rate: limit, level: startLevel * limit.Burst, at: now, credit: startLevel * limit.Burst, creditAt: now}
+		level := startLevel * limit.Burst
+		a = &pooled{rate: limit, level: level, at: now, credit: level / float64(p.entries), creditAt: now}
 		p.accounts[name] = a
 	}
 	if a.rate != limit {
@@ -247,8 +258,8 @@
 }
 
 // Hear takes the use that another entry told, as of a moment. Boot tells its
-// incarnations apart.
-func (p *Pool) Hear(id, boot string, use map[string]Use, now time.Time) {
+// incarnations apart; began is when this one started.
+func (p *Pool) Hear(id, boot string, began time.Time, use map[string]Use, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.peers[id]
@@ -267,7 +278,8 @@
 		case !p.adopted:
 			// A process that has just started takes over what the others know.
 			a.level = min(a.level, told.Level)
-		case before != nil:
+		case before != nil || began.After(p.began.Add(-startTogether)):
+			// All of it was spent since this entry began to count, or shortly before.
 			a.level -= told.Spent
 		}
 	}
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -31,9 +31,11 @@
 
 // entryUse is one entry's use of accounts.
 type entryUse struct {
-	ID       string               `json:"id"`
-	Address  string               `json:"address"`
-	Boot     string               `json:"boot"`
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Boot    string `json:"boot"`
+	// UpMS is how long the entry had been running when it told this, AgeMS ago.
+	UpMS     int64                `json:"up_ms"`
 	AgeMS    int64                `json:"age_ms"`
 	Accounts map[string]limit.Use `json:"accounts"`
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -78,6 +78,8 @@
 	id      string
 	address string
 	boot    string
+	// up is how long it had been running when it was heard.
+	up      time.Duration
 	heard   time.Time
 	called  time.Time
 	calling bool
@@ -89,6 +91,7 @@
 // Roster exchanges with the other entries. It is safe for concurrent use.
 type Roster struct {
 	options Options
+	began   time.Time
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -96,7 +99,7 @@
 
 // New returns a roster that knows no other entry.
 func New(options Options) *Roster {
-	return &Roster{options: options, members: map[string]*member{}}
+	return &Roster{options: options, began: time.Now(), members: map[string]*member{}}
 }
 
 // Learn adds an entry that registered itself, or its new address.
@@ -134,10 +137,12 @@
 	alive = 1
 	within := r.aliveWithin()
 	for _, m := range r.members {
-		if now.Sub(m.heard) < within {
+		// One that registered itself counts until a call to it fails.
+		untried := m.heard.IsZero() && !m.lost
+		if untried || now.Sub(m.heard) < within {
 			alive++
 		}
-		if now.Sub(m.heard) < knownFor {
+		if untried || now.Sub(m.heard) < knownFor {
 			known++
 		}
 	}
@@ -292,7 +297,7 @@
 		Version: configuration.Version, ConfirmedAgeMS: -1,
 		Uses: []entryUse{{
 			ID: r.options.ID, Address: r.options.Address, Boot: r.options.Boot,
-			Accounts: r.options.Pool.Report(now),
+			UpMS: now.Sub(r.began).Milliseconds(), Accounts: r.options.Pool.Report(now),
 		}},
 	}
 	if !configuration.Confirmed.IsZero() {
@@ -305,7 +310,7 @@
 	}
 	for _, m := range r.members {
 		if age := now.Sub(m.heard); age < relayFor {
-			told.Uses = append(told.Uses, entryUse{ID: m.id, Address: m.address, Boot: m.boot, AgeMS: age.Milliseconds(), Accounts: m.accounts})
+			told.Uses = append(told.Uses, entryUse{ID: m.id, Address: m.address, Boot: m.boot, UpMS: m.up.Milliseconds(), AgeMS: age.Milliseconds(), Accounts: m.accounts})
 		}
 	}
 	return told
@@ -322,8 +327,8 @@
 			continue
 		}
 		m = r.learn(use.ID, use.Address)
-		m.heard, m.boot, m.accounts = heard, use.Boot, use.Accounts
-		r.options.Pool.Hear(use.ID, use.Boot, use.Accounts, heard)
+		m.heard, m.boot, m.up, m.accounts = heard, use.Boot, milliseconds(use.UpMS), use.Accounts
+		r.options.Pool.Hear(use.ID, use.Boot, heard.Add(-milliseconds(use.UpMS)), use.Accounts, heard)
 	}
 }
 
