--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -36,7 +36,7 @@
 	// configurationWaitPart and serversWaitPart are how long one read of the store waits
 	// for news, in parts of the bounds on configuration changes and on draining: a
 	// connection that went silent is found within the rest.
-	configurationWaitPart = 0.6
+	configurationWaitPart = 0.75
 	serversWaitPart       = 0.7
 	// serversPausePart is the pause after news of backend servers, in parts of the bound on
 	// draining. Each server renews its entry all the time: without a pause, each renewal
