Refuse the lowest tiers early in a lasting overload

Change: once a queue has refused requests for a second, requests that may not be late wait a quarter of their objective.

--- a/internal/admission/slotpolicy.go
+++ b/internal/admission/slotpolicy.go
@@ -24,6 +24,12 @@
 	expectedRest = 0.5
 	// probeSlots is the number of requests at a time by which a failing engine is tried.
 	probeSlots = 1
+	// lastingOverload is how long requests must have been refused for an overload to count
+	// as lasting.
+	lastingOverload = time.Second
+	// overloadWaitPart is the part of the time to its objective that a request of the lowest
+	// tiers waits in a lasting overload.
+	overloadWaitPart = 0.25
 	// minOccupancy is the occupancy under which a tier counts as idle, in slots.
 	minOccupancy = 0.05
 )
@@ -61,6 +67,16 @@
 	return now.Add(wait + q.firstToken(t)).Before(q.latest(t))
 }
 
+// overstays reports whether a ticket of the lowest tiers has waited longer than it may in
+// an overload: its caller had better hear soon that it has to come back.
+func (q *SlotQueue) overstays(now time.Time, t *SlotTicket) bool {
+	r := &t.request
+	if r.Objective.IsZero() || r.LateHold > 0 || now.Sub(q.lastRefusal) > overloadPause || now.Sub(q.overloadSince) < lastingOverload {
+		return false
+	}
+	return now.Sub(t.queued) > time.Duration(overloadWaitPart*float64(r.Objective.Sub(t.queued)))
+}
+
 // firstToken returns the expected time from a grant to the first token.
 func (q *SlotQueue) firstToken(t *SlotTicket) time.Duration {
 	return seconds(q.speed.firstToken.at(float64(t.request.PromptTokens)))
--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -295,7 +295,7 @@
 }
 
 func (q *SlotQueue) expired(now time.Time, t *SlotTicket) bool {
-	return !now.Add(q.firstToken(t)).Before(q.latest(t))
+	return !now.Add(q.firstToken(t)).Before(q.latest(t)) || q.overstays(now, t)
 }
 
 func (t *SlotTicket) tokens() int {
--- a/internal/admission/slotqueue_test.go
+++ b/internal/admission/slotqueue_test.go
@@ -149,3 +149,33 @@
 		c.Assert(q.Load().Slots, qt.Equals, 3)
 	}
 }
+
+// TestLowTierWaitsBrieflyInALastingOverload plays a full engine: a request of the lowest
+// tier waits for its objective at first, and a quarter of that once requests have been
+// refused for a second. Higher tiers wait on.
+func TestLowTierWaitsBrieflyInALastingOverload(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	q := admission.NewSlotQueue(admission.SlotOptions{Slots: 1})
+	submit := func(rank uint32, lateHold time.Duration) *admission.SlotTicket {
+		return q.Submit(now, admission.Request{Rank: rank, Deadline: now.Add(time.Minute), Objective: now.Add(400 * time.Millisecond), LateHold: lateHold})
+	}
+	// waits plays until a ticket is decided.
+	waits := func(ticket *admission.SlotTicket) time.Duration {
+		for from := now; ; now = now.Add(10 * time.Millisecond) {
+			q.Tick(now)
+			select {
+			case <-ticket.Decided():
+				return now.Sub(from)
+			default:
+			}
+		}
+	}
+	submit(0, 0)
+	c.Assert(waits(submit(2, 0)), qt.Equals, 400*time.Millisecond)
+	for range 4 {
+		waits(submit(2, 0))
+	}
+	c.Assert(waits(submit(2, 0)) <= 110*time.Millisecond, qt.IsTrue)
+	c.Assert(waits(submit(1, 400*time.Millisecond)) >= 700*time.Millisecond, qt.IsTrue)
+}
