--- a/cmd/lagoonctl/move.go
+++ b/cmd/lagoonctl/move.go
@@ -52,7 +52,9 @@
 				return err
 			}
 			intent.FinishBy = at
-			_ = parseList(*routes, &intent.Routes)
+			if err := parseList(*routes, &intent.Routes); err != nil {
+				return err
+			}
 			return t.plan(ctx, intent, *file, *confirm)
 		},
 	}
@@ -189,7 +191,9 @@
 		}
 		if item.Revision != revision {
 			revision = item.Revision
-			t.printMove(item, move)
+			if err := t.printMove(item, move); err != nil {
+				return err
+			}
 		}
 		if config.MoveActive(move) {
 			continue
@@ -201,11 +205,11 @@
 	}
 }
 
-func (t *tool) printMove(item operatorapi.Item, move *configpb.Move) {
+func (t *tool) printMove(item operatorapi.Item, move *configpb.Move) error {
 	if t.output == "json" {
-		_ = t.json(item)
-		return
+		return t.json(item)
 	}
-	fmt.Fprintf(t.stdout, "%s  %s  step %d/%d  share %d  %s\n", formatTime(move.GetChangedUnixMs()),
+	_, err := fmt.Fprintf(t.stdout, "%s  %s  step %d/%d  share %d  %s\n", formatTime(move.GetChangedUnixMs()),
 		short(move.GetState(), "MOVE_STATE_"), move.GetStep(), len(move.GetSteps()), move.GetShareBp(), move.GetReason())
+	return errors.Wrap(err, "output")
 }
