--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -14,7 +14,7 @@
 	overloadPause = time.Second
 	// maxSlotRetryAfter bounds the time that a refused request is told to wait: callers
 	// of streams wait some seconds in all.
-	maxSlotRetryAfter = 3 * time.Second
+	maxSlotRetryAfter = 5 * time.Second
 	// retrySpread is the part of that time by which returns are spread, in spreadSteps steps.
 	retrySpread = 0.25
 	spreadSteps = 17
