Let one request overdraw an account's limit, as before, and pay for it

A bucket that must hold the whole request admits small ones as soon as it can, so that large ones have no chance: 3 of 1,285 with 12,000 tokens, 1,128 of 1,255 with 800. Change: the bucket and the saved share may be overdrawn by one request, and those that follow pay.

--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -18,9 +18,6 @@
 	startLevel = 0.25
 	// lowLevel is the part of the burst below which an entry keeps to its share.
 	lowLevel = 0.5
-	// largestKept is the part of the largest request's size that is remembered after
-	// one more request.
-	largestKept = 0.95
 	// startTogether is how much earlier than this one another entry may have started to
 	// count as started together with it, such as after a loss of all.
 	startTogether = 2 * time.Second
@@ -71,8 +68,6 @@
 	// credit is what this entry has saved of its share, at creditAt.
 	credit   float64
 	creditAt time.Time
-	// largest is the size of the largest of the last requests.
-	largest float64
 }
 
 // peerUse is what was heard of another entry.
@@ -112,12 +107,17 @@
 	p.carry(now)
 	a.demand.add(tokens, now)
 	share, informed := p.share(a, name, now)
-	a.save(now, share, tokens)
-	if wait := p.wait(a, tokens, share, informed); wait > 0 {
+	a.save(now, share)
+	plenty := p.entries == 1 || (informed && a.level >= lowLevel*a.rate.Burst)
+	if wait := a.wait(share, plenty); wait > 0 {
 		return errors.WithStack(&ExceededError{Account: name, Kind: KindTokens, RetryAfter: min(wait, longestRetryAfter)})
 	}
 	a.level -= tokens
-	a.credit = max(a.credit-tokens, 0)
+	a.credit -= tokens
+	if plenty {
+		// What is spent while there is plenty is no debt.
+		a.credit = max(a.credit, 0)
+	}
 	a.spent += tokens
 	return nil
 }
@@ -133,18 +133,15 @@
 	}
 }
 
-// wait returns how long until a request of some tokens may be admitted; 0: now. One
-// that is larger than the burst needs a full bucket.
-func (p *Pool) wait(a *pooled, tokens, share float64, informed bool) time.Duration {
-	need := min(tokens, a.rate.Burst)
-	if a.level < need {
-		return timeFor(need-a.level, a.rate.PerSecond)
-	}
-	if p.entries == 1 || (informed && a.level-need >= lowLevel*a.rate.Burst) {
-		return 0
-	}
-	if a.credit < need {
-		return timeFor(need-a.credit, a.rate.PerSecond*share)
+// wait returns how long until the next request may be admitted; 0: now. Bucket and credit
+// may be overdrawn by one request, so that large requests, which are often those of the
+// higher tiers, have the same chance as small ones.
+func (a *pooled) wait(share float64, plenty bool) time.Duration {
+	switch {
+	case a.level <= 0:
+		return timeFor(1-a.level, a.rate.PerSecond)
+	case !plenty && a.credit <= 0:
+		return timeFor(1-a.credit, a.rate.PerSecond*share)
 	}
 	return 0
 }
@@ -197,13 +194,11 @@
 }
 
 // save fills the bucket and adds this entry's share to its credit, up to its share of the
-// burst or what a large request needs.
-func (a *pooled) save(now time.Time, share, tokens float64) {
+// burst.
+func (a *pooled) save(now time.Time, share float64) {
 	a.fill(now)
-	a.largest = max(tokens, largestKept*a.largest)
 	if elapsed := now.Sub(a.creditAt).Seconds(); elapsed > 0 {
-		most := max(a.rate.Burst*share, min(a.largest, a.rate.Burst))
-		a.credit = min(a.credit+elapsed*a.rate.PerSecond*share, max(most, a.credit))
+		a.credit = min(a.credit+elapsed*a.rate.PerSecond*share, max(a.rate.Burst*share, a.credit))
 		a.creditAt = now
 	}
 }
