Don't lose what lagoonctl can't print

Cause (last look): a table whose output failed ended with success, and so did a new key, which is shown only once: on a full disk or a closed pipe it was stored and lost. A version named without its pool went to the entry with an empty name. Change: both are errors; a version without its pool is a usage error. The other ignored values are no errors (crypto/rand never fails, the rest are found or type flags) and say so. TestOutputThatFailsIsAnError, TestVersionIsNamedWithItsPool.

--- a/cmd/lagoonctl/apply.go
+++ b/cmd/lagoonctl/apply.go
@@ -90,8 +90,7 @@
 	for _, d := range differences {
 		rows = append(rows, []string{d.Change, d.Entity, fmt.Sprint(d.revision)})
 	}
-	t.table([]string{"CHANGE", "ENTITY", "FROM"}, rows)
-	return nil
+	return t.table([]string{"CHANGE", "ENTITY", "FROM"}, rows)
 }
 
 // differences compares a file with the configuration in force, in an order in
--- a/cmd/lagoonctl/client.go
+++ b/cmd/lagoonctl/client.go
@@ -183,6 +183,6 @@
 
 func newOperation() string {
 	buffer := make([]byte, operationBytes)
-	_, _ = rand.Read(buffer)
+	rand.Read(buffer) // It never fails: without random numbers the program ends.
 	return hex.EncodeToString(buffer)
 }
--- a/cmd/lagoonctl/entities.go
+++ b/cmd/lagoonctl/entities.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lagoonlane/lagoonlane/internal/rpc/configpb"
@@ -67,7 +68,9 @@
 			if err != nil {
 				return err
 			}
-			setName(entity, name)
+			if err := setName(entity, name); err != nil {
+				return err
+			}
 			if err := set.apply(flags); err != nil {
 				return err
 			}
@@ -80,7 +83,8 @@
 	}
 }
 
-func setName(entity proto.Message, name string) {
+// setName fails with *UsageError where a version is named without its pool.
+func setName(entity proto.Message, name string) error {
 	switch e := entity.(type) {
 	case *configpb.Tier:
 		e.Name = name
@@ -89,8 +93,12 @@
 	case *configpb.Route:
 		e.Name = name
 	case *configpb.BackendVersion:
-		e.Pool, e.Name, _ = strings.Cut(name, "/")
+		var found bool
+		if e.Pool, e.Name, found = strings.Cut(name, "/"); !found {
+			return &UsageError{Text: "a version is named POOL/NAME"}
+		}
 	}
+	return nil
 }
 
 func deleteCommand(t *tool, kind string, stderr io.Writer) *ffcli.Command {
@@ -182,7 +190,7 @@
 		return &UsageError{Text: "there is no client account " + name}
 	}
 	random := make([]byte, keyBytes)
-	_, _ = rand.Read(random)
+	rand.Read(random) // It never fails: without random numbers the program ends.
 	key := keyPrefix + hex.EncodeToString(random)
 	hash := sha256.Sum256([]byte(key))
 	account.Keys = append(account.Keys, &configpb.ApiKey{Id: id, Sha256: hash[:]})
@@ -192,8 +200,8 @@
 	if t.output == "json" {
 		return t.json(map[string]string{"account": name, "id": id, "key": key})
 	}
-	fmt.Fprintf(t.stdout, "key %s of %s, shown only now:\n%s\n", id, name, key)
-	return nil
+	_, err = fmt.Fprintf(t.stdout, "key %s of %s, shown only now:\n%s\n", id, name, key)
+	return errors.Wrap(err, "the key is stored but could not be shown; remove it and add another")
 }
 
 func (t *tool) routeCommand(stderr io.Writer) *ffcli.Command {
@@ -289,6 +297,7 @@
 func parseShares(v string, into *[]*configpb.VersionShare) error {
 	*into = nil
 	for _, part := range strings.Split(v, ",") {
+		// Without "=" the share is empty and fails to parse.
 		version, bp, _ := strings.Cut(part, "=")
 		share := &configpb.VersionShare{Version: version}
 		if err := parseUint32(bp, &share.ShareBp); err != nil {
--- a/cmd/lagoonctl/file.go
+++ b/cmd/lagoonctl/file.go
@@ -96,6 +96,7 @@
 func normalise(value map[string]any) {
 	expand(value, "kind", "BACKEND_KIND_")
 	expand(value, "state", "VERSION_STATE_")
+	// A value of another type stays as it is: decoding the message refuses it by name.
 	keys, _ := value["keys"].([]any)
 	for _, entry := range keys {
 		key, _ := entry.(map[string]any)
--- a/cmd/lagoonctl/list.go
+++ b/cmd/lagoonctl/list.go
@@ -43,8 +43,7 @@
 		}
 		rows = append(rows, append(row(message), strconv.FormatUint(item.Revision, 10)))
 	}
-	t.table(append(header, "REVISION"), rows)
-	return nil
+	return t.table(append(header, "REVISION"), rows)
 }
 
 func newTier() *configpb.Tier              { return &configpb.Tier{} }
--- a/cmd/lagoonctl/main_test.go
+++ b/cmd/lagoonctl/main_test.go
@@ -172,3 +172,23 @@
 	s.c.Assert(s.ok("tier", "list"), qt.Contains, "low")
 	s.ok("tier", "delete", "low")
 }
+
+// brokenOutput is an output that takes nothing, as a full disk or a closed pipe.
+type brokenOutput struct{}
+
+func (brokenOutput) Write([]byte) (int, error) { return 0, os.ErrClosed }
+
+// What can't be printed is an error, not an empty answer.
+func TestOutputThatFailsIsAnError(t *testing.T) {
+	c := qt.New(t)
+	broken := &tool{stdout: brokenOutput{}}
+	c.Assert(broken.table([]string{"A"}, [][]string{{"b"}}), qt.ErrorIs, os.ErrClosed)
+	c.Assert(broken.printDifferences(nil), qt.ErrorIs, os.ErrClosed)
+}
+
+func TestVersionIsNamedWithItsPool(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(setName(&configpb.BackendVersion{}, "press/v1"), qt.IsNil)
+	var usage *UsageError
+	c.Assert(setName(&configpb.BackendVersion{}, "v1"), qt.ErrorAs, &usage)
+}
--- a/cmd/lagoonctl/move.go
+++ b/cmd/lagoonctl/move.go
@@ -108,8 +108,7 @@
 		rows = append(rows, []string{fmt.Sprint(i), short(step.GetKind(), "STEP_KIND_"), fmt.Sprint(step.GetShareBp()),
 			planned.String(), fmt.Sprint(len(step.GetBackendServers()))})
 	}
-	t.table([]string{"STEP", "KIND", "SHARE_BP", "PLANNED", "BACKEND_SERVERS"}, rows)
-	return nil
+	return t.table([]string{"STEP", "KIND", "SHARE_BP", "PLANNED", "BACKEND_SERVERS"}, rows)
 }
 
 func (t *tool) confirmCommand(stderr io.Writer) *ffcli.Command {
--- a/cmd/lagoonctl/output.go
+++ b/cmd/lagoonctl/output.go
@@ -7,20 +7,22 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/lagoonlane/lagoonlane/internal/operatorapi"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/configpb"
 )
 
 const columnGap = 2
 
-// table prints rows under a header.
-func (t *tool) table(header []string, rows [][]string) {
+// table prints rows under a header. What the rows' writes say is said by the last flush.
+func (t *tool) table(header []string, rows [][]string) error {
 	w := tabwriter.NewWriter(t.stdout, 0, 0, columnGap, ' ', 0)
 	fmt.Fprintln(w, strings.Join(header, "\t"))
 	for _, row := range rows {
 		fmt.Fprintln(w, strings.Join(row, "\t"))
 	}
-	_ = w.Flush()
+	return errors.Wrap(w.Flush(), "output")
 }
 
 // json prints a value as JSON, indented.
--- a/cmd/lagoonctl/show.go
+++ b/cmd/lagoonctl/show.go
@@ -37,10 +37,13 @@
 	if status.LogDown {
 		log = "down"
 	}
-	t.table([]string{"OFFSET", "READY", "LOG", "TIERS", "ACCOUNTS", "ROUTES", "VERSIONS", "CONTAINED", "LEASES"}, [][]string{{
+	err := t.table([]string{"OFFSET", "READY", "LOG", "TIERS", "ACCOUNTS", "ROUTES", "VERSIONS", "CONTAINED", "LEASES"}, [][]string{{
 		fmt.Sprint(status.Offset), fmt.Sprint(status.Ready), log, fmt.Sprint(status.Tiers), fmt.Sprint(status.Accounts),
 		fmt.Sprint(status.Routes), fmt.Sprint(status.Versions), fmt.Sprint(len(status.Contained)), fmt.Sprint(len(status.Leases)),
 	}})
+	if err != nil {
+		return err
+	}
 	for _, contained := range status.Contained {
 		fmt.Fprintln(t.stdout, "contained:", contained)
 	}
@@ -98,8 +101,7 @@
 			fmt.Sprint(entry.GetExpectedRevision()), short(entry.GetResult(), "AUDIT_RESULT_"), auditDetail(entry),
 		})
 	}
-	t.table([]string{"OFFSET", "TIME", "OPERATOR", "ACTION", "ENTITY", "FROM", "RESULT", "DETAIL"}, rows)
-	return nil
+	return t.table([]string{"OFFSET", "TIME", "OPERATOR", "ACTION", "ENTITY", "FROM", "RESULT", "DETAIL"}, rows)
 }
 
 func auditDetail(entry *configpb.AuditEntry) string {
