Say on each cut request who cut it

Callers saw answers end in the middle; the request line called every ended context "the caller left", also where server.Close of this process had cut it at the end of its grace time, or where it had closed the connection as idle.

Cause: the context of a request carried no cause but the deadline's, and the last send's error was lost once no other place was found.

Change: the failure has a typed cause (caller-left, stopped, closed-idle, stalled, backend-server, bad-answer, deadline), on the request line as cut_by and on lagoonlane_gateway_answers_cut_total. no_retry says why the request went nowhere else, last_event how far a stream was, stop_in_ms how much of the grace time was left. transport.Connections tells a connection that this process closed as idle from one that the caller closed, counts both, and has a line where a request was arriving. No decision changes.

Checked: go test -race -count=5 ./internal/gateway -run 'Cut|NotCut', go test -race -count=20 ./internal/transport -run Connection: passed.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -215,7 +215,7 @@
 	case errors.As(err, &over):
 		return nil, tooLarge
 	case r.Context().Err() != nil:
-		return nil, refusal(KindCallerLeft, http.StatusBadRequest, "the caller left while it sent the body")
+		return nil, cutOff(r.Context())
 	}
 	return nil, refusal(KindMalformed, http.StatusBadRequest, "the body could not be read: "+err.Error())
 }
--- /dev/null
+++ b/internal/gateway/cut_test.go
@@ -0,0 +1,207 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lagoonlane/lagoonlane/internal/gateway"
+	"github.com/lagoonlane/lagoonlane/internal/transport"
+)
+
+// lines are the log lines of a gateway.
+type lines struct {
+	mu  sync.Mutex
+	all []map[string]any
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	var line map[string]any
+	if err := json.Unmarshal(p, &line); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, line)
+	return len(p), nil
+}
+
+// of returns the lines with a message.
+func (l *lines) of(message string) []map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []map[string]any
+	for _, line := range l.all {
+		if line["message"] == message {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// line waits for the only line with a message.
+func (w *world) line(message string) map[string]any {
+	w.c.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if found := w.lines.of(message); len(found) > 0 {
+			w.c.Assert(found, qt.HasLen, 1)
+			return found[0]
+		}
+	}
+	w.c.Fatalf("no line %q within 5 s", message)
+	return nil
+}
+
+// cuts returns what the metrics page says of cut answers, by cause.
+func (w *world) cuts() map[string]string {
+	page := httptest.NewRecorder()
+	w.metrics.Handler.ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	w.c.Assert(page.Code, qt.Equals, http.StatusOK)
+	counts := map[string]string{}
+	scanner := bufio.NewScanner(bytes.NewReader(page.Body.Bytes()))
+	for scanner.Scan() {
+		if labels, found := strings.CutPrefix(scanner.Text(), "lagoonlane_gateway_answers_cut_total{"); found {
+			_, cause, _ := strings.Cut(labels, `cause="`)
+			cause, _, _ = strings.Cut(cause, `"`)
+			counts[cause] = labels[strings.LastIndex(labels, " ")+1:]
+		}
+	}
+	return counts
+}
+
+// streaming sends two events of a stream and then nothing, until its caller is gone.
+func streaming(begun chan<- struct{}) serve {
+	return func(request *http.Request, conn net.Conn) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+		for i := 1; i <= 2; i++ {
+			text := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+		}
+		if begun != nil {
+			begun <- struct{}{}
+		}
+		var one [1]byte
+		_, _ = conn.Read(one[:])
+	}
+}
+
+// start begins a request whose first bytes of an answer are read, and returns what
+// closes its connection.
+func (w *world) start(path string) (leave context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, w.front.URL+path, strings.NewReader("p"))
+	w.c.Assert(err, qt.IsNil)
+	request.Header.Set("Id", "cut-short")
+	request.Header.Set("Key", "key")
+	response, err := http.DefaultClient.Do(request)
+	w.c.Assert(err, qt.IsNil)
+	w.c.Cleanup(func() { cancel(); response.Body.Close() })
+	return cancel
+}
+
+func TestCutByTheCaller(t *testing.T) {
+	w := newWorld(t, streaming(nil))
+	w.start("/stream/x")()
+	line := w.line("request")
+	w.c.Assert(line["cut_by"], qt.Equals, string(gateway.CutCallerLeft))
+	w.c.Assert(line["outcome"], qt.Equals, string(gateway.KindCallerLeft))
+	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"caller-left": "1"})
+	cut, _ := w.requests.Cut()
+	w.c.Assert(cut, qt.Equals, 0)
+}
+
+// A process that ends while requests run must not blame their callers.
+func TestCutByTheEndOfTheGraceTime(t *testing.T) {
+	w := newWorld(t, streaming(nil))
+	w.start("/stream/x")
+	w.c.Assert(w.requests.Running(), qt.Equals, int64(1))
+	w.end(&transport.StoppedError{})
+	line := w.line("request")
+	w.c.Assert(line["cut_by"], qt.Equals, string(gateway.CutStopped))
+	w.c.Assert(line["outcome"], qt.Equals, string(gateway.KindStopped))
+	w.c.Assert(line["cut"], qt.Equals, true)
+	w.c.Assert(line["last_event"], qt.Equals, "2")
+	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"stopped": "1"})
+	w.requests.Settle(t.Context())
+	cut, ids := w.requests.Cut()
+	w.c.Assert(cut, qt.Equals, 1)
+	w.c.Assert(ids, qt.DeepEquals, []string{"cut-short"})
+}
+
+func TestCutByClosingAConnectionAsIdle(t *testing.T) {
+	w := newWorld(t, streaming(nil))
+	w.start("/stream/x")
+	w.end(&transport.ClosedIdleError{})
+	w.c.Assert(w.line("request")["cut_by"], qt.Equals, string(gateway.CutClosedIdle))
+	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"closed-idle": "1"})
+}
+
+// The first server goes silent in the middle of a stream and the second one has no
+// place: our own decision ended the answer.
+func TestCutByTheStallWatch(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	var first sync.Once
+	s := func(request *http.Request, conn net.Conn) {
+		answer := whole(http.StatusServiceUnavailable, "", "Not-Run: 1\r\n")
+		first.Do(func() { answer = streaming(begun) })
+		answer(request, conn)
+	}
+	w := newWorld(t, s, s)
+	_, _, err := w.call("POST", "/resumable/x", "p")
+	w.c.Assert(err, qt.IsNotNil)
+	line := w.line("request")
+	w.c.Assert(line["cut_by"], qt.Equals, string(gateway.CutStalled))
+	w.c.Assert(line["no_retry"], qt.Equals, "the service has no backend server that can be tried")
+	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"stalled": "1"})
+}
+
+func TestCutByTheBackendServer(t *testing.T) {
+	w := newWorld(t, func(request *http.Request, conn net.Conn) { events(request, conn, 1, 2, true) })
+	_, _, err := w.call("POST", "/stream/x", "p")
+	w.c.Assert(err, qt.IsNotNil)
+	line := w.line("request")
+	w.c.Assert(line["cut_by"], qt.Equals, string(gateway.CutBackendServer))
+	w.c.Assert(line["no_retry"], qt.Equals, "the request may run once only")
+	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"backend-server": "1"})
+}
+
+func TestCutByABadAnswer(t *testing.T) {
+	w := newWorld(t, func(request *http.Request, conn net.Conn) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 1\r\n\r\nx", request.Header.Get("Id"))
+	})
+	_, _, err := w.call("POST", "/unsafe/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(w.line("request")["cut_by"], qt.Equals, string(gateway.CutBadAnswer))
+	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"bad-answer": "1"})
+}
+
+func TestCutByTheDeadline(t *testing.T) {
+	w := newWorld(t, silent)
+	response, _, err := w.call("POST", "/short/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+	w.c.Assert(w.line("request")["cut_by"], qt.Equals, string(gateway.CutDeadline))
+	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"deadline": "1"})
+}
+
+// A whole answer and a true refusal are no cuts.
+func TestAnswersAndRefusalsAreNotCut(t *testing.T) {
+	w := newWorld(t, whole(200, "x"))
+	_, _, err := w.call("GET", "/safe/x", "")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(w.line("request")["cut_by"], qt.IsNil)
+	_, _, err = w.call("GET", "/nowhere/x", "")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(w.cuts(), qt.HasLen, 0)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,7 +35,7 @@
 	Retries      RetryBounds
 }
 
-// Options configure a Gateway. All but Meter and Lateness are required.
+// Options configure a Gateway. All but Meter, Lateness and Requests are required.
 type Options struct {
 	DataCentre string
 	Codec      Codec
@@ -53,6 +53,8 @@
 	Bounds  Bounds
 	Logger  zerolog.Logger
 	Meter   metric.Meter
+	// Requests gets the requests that run; nil: the gateway counts for itself.
+	Requests *Requests
 }
 
 // Gateway serves callers. It is an http.Handler.
@@ -69,6 +71,9 @@
 
 // New returns a gateway.
 func New(options Options) (*Gateway, error) {
+	if options.Requests == nil {
+		options.Requests = &Requests{}
+	}
 	g := &Gateway{
 		options: options,
 		logger:  options.Logger,
@@ -76,7 +81,7 @@
 		retries: newRetryBudget(options.Bounds.Retries),
 	}
 	var err error
-	g.metrics, err = newMetrics(options.Meter, g.delay)
+	g.metrics, err = newMetrics(options.Meter, g.delay, options.Requests)
 	return g, err
 }
 
@@ -115,6 +120,8 @@
 
 // ServeHTTP answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.options.Requests.begin()
+	defer g.options.Requests.end()
 	if g.leaving.Load() != 0 {
 		w.Header().Set("Connection", "close")
 	}
@@ -167,12 +174,15 @@
 	took := steady.Since(one.arrived)
 	g.metrics.concluded(one, p, failure, took)
 	g.log(one, p, failure, took)
+	if failure != nil {
+		g.options.Requests.cutOff(one.info.ID, failure.Cut)
+	}
 	switch {
 	case failure == nil:
-	case p.relay != nil && p.relay.started:
+	case p.started():
 		// The caller has part of an answer: only a broken connection says that it isn't whole.
 		panic(http.ErrAbortHandler)
-	case r.Context().Err() != nil && failure.Kind == KindCallerLeft:
+	case r.Context().Err() != nil && (failure.Kind == KindCallerLeft || failure.Kind == KindStopped):
 		panic(http.ErrAbortHandler)
 	case failure.Kind == KindOverloaded:
 		// The caller's next request had better go to another process.
@@ -198,12 +208,21 @@
 			Dur("longest_pause_ms", p.longestPause)
 	}
 	event.Dur("waited_ms", p.waited)
+	if end := g.leaving.Load(); end != 0 {
+		event.Dur("stop_in_ms", time.Until(time.Unix(0, end)))
+	}
 	if failure == nil {
 		event.Int("status", p.status).Str("outcome", "answered").Msg("request")
 		return
 	}
+	if failure.Cut != "" {
+		event.Str("cut_by", string(failure.Cut)).Str("no_retry", p.noRetry)
+	}
+	if p.started() {
+		event.Str("last_event", p.relay.lastID)
+	}
 	event.Int("status", failure.Status).Str("outcome", string(failure.Kind)).Str("reason", failure.Detail).
-		Dur("retry_after_ms", failure.RetryAfter).Bool("cut", p.relay != nil && p.relay.started).Msg("request")
+		Dur("retry_after_ms", failure.RetryAfter).Bool("cut", p.started()).Msg("request")
 }
 
 // Run forgets what is no longer of use, until ctx is done.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
+	"github.com/lagoonlane/lagoonlane/internal/telemetry"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
 
@@ -69,6 +70,12 @@
 	dir     *fleet.Directory
 	late    *lateness
 	age     time.Duration
+	lines   *lines
+	// requests are those that run.
+	requests gateway.Requests
+	metrics  *telemetry.Metrics
+	// end ends the requests that run, with a cause.
+	end context.CancelCauseFunc
 }
 
 // serve answers one connection of a backend server, from its request on.
@@ -79,7 +86,7 @@
 // newAgedWorld returns a world whose configuration was confirmed some time ago.
 func newAgedWorld(t *testing.T, age time.Duration, servers ...serve) *world {
 	c := qt.New(t)
-	w := &world{c: c, age: age, late: &lateness{}, holder: &fleet.Holder{}, dir: fleet.NewDirectory()}
+	w := &world{c: c, age: age, late: &lateness{}, holder: &fleet.Holder{}, dir: fleet.NewDirectory(), lines: &lines{}}
 	for i, s := range servers {
 		w.dir.Put(fleet.Server{ID: fmt.Sprint("server-", i), Service: "plain", Address: backend(t, s), Slots: 4})
 	}
@@ -88,6 +95,8 @@
 	client := upstream.New(upstream.Options{IDOf: func(h http.Header) string { return h.Get("Id") }})
 	t.Cleanup(client.CloseIdle)
 	var err error
+	w.metrics, err = telemetry.NewMetrics()
+	c.Assert(err, qt.IsNil)
 	w.gateway, err = gateway.New(gateway.Options{
 		Codec: codec{}, Manifest: w.holder, Directory: w.dir, Upstream: client,
 		Slots: slots.NewClient(nil), SlotAddress: func(fleet.Server) string { return "" },
@@ -96,10 +105,14 @@
 			ApplyWithin: 2 * time.Second, RevokeWithin: 5 * time.Second,
 			Retries: gateway.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
 		},
-		Logger: zerolog.Nop(),
+		Logger: zerolog.New(w.lines), Meter: w.metrics.Meter, Requests: &w.requests,
 	})
 	c.Assert(err, qt.IsNil)
-	w.front = httptest.NewServer(w.gateway)
+	var base context.Context
+	base, w.end = context.WithCancelCause(context.Background())
+	w.front = httptest.NewUnstartedServer(w.gateway)
+	w.front.Config.BaseContext = func(net.Listener) context.Context { return base }
+	w.front.Start()
 	t.Cleanup(w.front.Close)
 	return w
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,12 +19,13 @@
 type metrics struct {
 	requests   metric.Int64Counter
 	sends      metric.Int64Counter
+	cut        metric.Int64Counter
 	firstEvent metric.Float64Histogram
 	waited     metric.Float64Histogram
 	whole      metric.Float64Histogram
 }
 
-func newMetrics(meter metric.Meter, delay func() time.Duration) (*metrics, error) {
+func newMetrics(meter metric.Meter, delay func() time.Duration, requests *Requests) (*metrics, error) {
 	if meter == nil {
 		meter = noop.Meter{}
 	}
@@ -36,6 +37,9 @@
 	if m.sends, err = meter.Int64Counter("lagoonlane_gateway_sends", metric.WithDescription("sends to backend servers by verdict")); err != nil {
 		return nil, errors.WithStack(err)
 	}
+	if m.cut, err = meter.Int64Counter("lagoonlane_gateway_answers_cut", metric.WithDescription("accepted requests without a whole answer by what ended them")); err != nil {
+		return nil, errors.WithStack(err)
+	}
 	for name, target := range map[string]*metric.Float64Histogram{
 		"lagoonlane_gateway_first_event": &m.firstEvent,
 		"lagoonlane_gateway_slot_wait":   &m.waited,
@@ -45,9 +49,25 @@
 			return nil, errors.WithStack(err)
 		}
 	}
+	if err := m.observeRunning(meter, requests); err != nil {
+		return nil, err
+	}
 	return m, m.observeDelay(meter, delay)
 }
 
+// observeRunning shows how many requests run.
+func (m *metrics) observeRunning(meter metric.Meter, requests *Requests) error {
+	gauge, err := meter.Int64ObservableGauge("lagoonlane_gateway_running", metric.WithDescription("requests that wait or run"))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		o.ObserveInt64(gauge, requests.Running())
+		return nil
+	}, gauge)
+	return errors.WithStack(err)
+}
+
 // observeDelay shows how late this process is.
 func (m *metrics) observeDelay(meter metric.Meter, delay func() time.Duration) error {
 	gauge, err := meter.Float64ObservableGauge("lagoonlane_process_delay", metric.WithUnit("s"))
@@ -70,6 +90,9 @@
 	service := attribute.String("service", one.service)
 	m.requests.Add(ctx, 1, metric.WithAttributes(service, attribute.String("outcome", outcome), attribute.String("status", strconv.Itoa(status))))
 	m.whole.Record(ctx, took.Seconds(), metric.WithAttributes(service))
+	if failure != nil && failure.Cut != "" {
+		m.cut.Add(ctx, 1, metric.WithAttributes(service, attribute.String("cause", string(failure.Cut)), attribute.Bool("started", p.started())))
+	}
 	if p.firstEvent > 0 {
 		m.firstEvent.Record(ctx, p.firstEvent.Seconds(), metric.WithAttributes(service))
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -26,6 +26,7 @@
 	KindFailed       Kind = "failed"
 	KindTimeout      Kind = "timeout"
 	KindCallerLeft   Kind = "caller-left"
+	KindStopped      Kind = "stopped"
 )
 
 // Failure is the final answer to a request that gets none of a backend server.
@@ -35,6 +36,8 @@
 	// RetryAfter is when the caller should come back; 0: not told.
 	RetryAfter time.Duration
 	Detail     string
+	// Cut is what ended a request that was accepted; empty for a refusal.
+	Cut Cut
 }
 
 func (f *Failure) Error() string { return fmt.Sprintf("%s: %s", f.Kind, f.Detail) }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -69,6 +69,22 @@
 
 func (e *EventError) Error() string { return e.Problem }
 
+// CallerError says that an answer could not be written to the caller.
+type CallerError struct{ Cause error }
+
+func (e *CallerError) Error() string { return "caller: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallerError) Unwrap() error { return e.Cause }
+
+// callerError wraps a failure to write to the caller; nil stays nil.
+func callerError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.WithStack(&CallerError{Cause: err})
+}
+
 // relay is the answer to one caller. A stream may come from several backend servers
 // one after the other; it keeps the head of the first.
 type relay struct {
@@ -98,9 +114,9 @@
 	h.Set("Content-Length", strconv.Itoa(len(held.body)))
 	r.w.WriteHeader(held.status)
 	if _, err := r.w.Write(held.body); err != nil {
-		return errors.Wrap(err, "caller")
+		return callerError(err)
 	}
-	return errors.Wrap(http.NewResponseController(r.w).Flush(), "caller")
+	return callerError(http.NewResponseController(r.w).Flush())
 }
 
 // open keeps the head of a stream until its first event. A resumed stream keeps the
@@ -132,7 +148,7 @@
 	}
 	r.start()
 	if _, err := r.w.Write(one.data); err != nil {
-		return errors.Wrap(err, "caller")
+		return callerError(err)
 	}
 	if one.id != "" {
 		r.lastID = one.id
@@ -140,7 +156,7 @@
 	if more {
 		return nil
 	}
-	return errors.Wrap(http.NewResponseController(r.w).Flush(), "caller")
+	return callerError(http.NewResponseController(r.w).Flush())
 }
 
 // inOrder reports whether an event is one that the caller lacks. It fails with
@@ -164,5 +180,5 @@
 // finish ends a stream that is whole.
 func (r *relay) finish() error {
 	r.start()
-	return errors.Wrap(http.NewResponseController(r.w).Flush(), "caller")
+	return callerError(http.NewResponseController(r.w).Flush())
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -48,6 +48,10 @@
 	// stalled is set when the last send was given up for a further one, which is paid
 	// for from the retry budget already.
 	stalled atomic.Bool
+	// broken is what ended the last send that may have run, noRetry why the request went
+	// to no further backend server.
+	broken  Cut
+	noRetry string
 }
 
 // verdict says what became of one send.
@@ -86,6 +90,7 @@
 	for {
 		place, failure := g.place(ctx, one, p)
 		if failure != nil {
+			p.noRetry = failure.Detail
 			return g.final(ctx, one, p, failure)
 		}
 		if g.probablyLeft(one, p) {
@@ -97,9 +102,11 @@
 		if outcome == verdictAnswered {
 			return nil
 		}
+		p.sendFailed(outcome, err)
 		g.logger.Info().Str("request_id", one.info.ID).Str("backend_server", place.server.ID).
 			Str("address", place.server.Address).Int("sends", p.sends).Str("outcome", outcome.String()).Err(err).Msg("send")
 		if ctx.Err() != nil || !g.mayTryAgain(one, p, outcome) {
+			p.noRetry = p.whyNoRetry(one, outcome)
 			return g.final(ctx, one, p, nil)
 		}
 	}
@@ -132,19 +139,21 @@
 func (g *Gateway) final(ctx context.Context, one *call, p *progress, refused *Failure) *Failure {
 	switch {
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
-		return &Failure{Kind: KindCallerLeft, Status: http.StatusBadGateway, Detail: "the caller left"}
+		return cutOff(ctx)
 	case ctx.Err() != nil && p.mayHaveRun:
-		return &Failure{Kind: KindTimeout, Status: http.StatusGatewayTimeout, Detail: "no whole answer at the deadline"}
+		return &Failure{Kind: KindTimeout, Status: http.StatusGatewayTimeout, Detail: "no whole answer at the deadline", Cut: CutDeadline}
 	case ctx.Err() != nil:
 		return unavailable(KindTimeout, defaultRetryAfter, "no slot before the deadline")
 	case p.reply != nil && p.reply.passable() && !p.relay.started:
 		if err := p.relay.whole(p.reply); err != nil {
-			return &Failure{Kind: KindCallerLeft, Status: http.StatusBadGateway, Detail: "the caller left during its answer"}
+			return &Failure{Kind: KindCallerLeft, Status: http.StatusBadGateway, Detail: "the caller left during its answer", Cut: CutCallerLeft}
 		}
 		p.status = p.reply.status
 		return nil
+	case p.broken == CutCallerLeft:
+		return &Failure{Kind: KindCallerLeft, Status: http.StatusBadGateway, Detail: "the caller left during its answer", Cut: CutCallerLeft}
 	case p.mayHaveRun:
-		return &Failure{Kind: KindFailed, Status: http.StatusBadGateway, Detail: "the backend server gave no whole answer"}
+		return &Failure{Kind: KindFailed, Status: http.StatusBadGateway, Detail: "the backend server gave no whole answer", Cut: p.broken}
 	case refused != nil:
 		return refused
 	case p.rejections > 0:
--- /dev/null
+++ b/internal/transport/connections.go
@@ -0,0 +1,241 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+	"golang.org/x/sys/unix"
+)
+
+// ClosedIdleError is the cause with which a request ends that came over a connection
+// which this process closed as idle.
+type ClosedIdleError struct{}
+
+func (*ClosedIdleError) Error() string { return "this process closed the connection as idle" }
+
+// StoppedError is the cause with which requests end that still run when this process
+// must end.
+type StoppedError struct{}
+
+func (*StoppedError) Error() string { return "this process ended its grace time" }
+
+// ConnectionCounts are the connections of callers at a moment.
+type ConnectionCounts struct {
+	// Open counts all, Active those with a request.
+	Open, Active int64
+	// ClosedIdle counts those that this process closed without a request so far, and
+	// ClosedArriving those of them on which bytes of a next request had come already.
+	ClosedIdle, ClosedArriving int64
+}
+
+// Connections watches the connections of an HTTP/1.1 server from accept to close: how
+// many there are, and which side closes them. It is safe for concurrent use.
+type Connections struct {
+	logger zerolog.Logger
+	closed metric.Int64Counter
+
+	open, active               atomic.Int64
+	closedIdle, closedArriving atomic.Int64
+}
+
+// NewConnections returns a watch that writes a line for each connection that was
+// closed while a request was arriving.
+func NewConnections(logger zerolog.Logger, meter metric.Meter) (*Connections, error) {
+	if meter == nil {
+		meter = noop.Meter{}
+	}
+	c := &Connections{logger: logger}
+	var err error
+	if c.closed, err = meter.Int64Counter("lagoonlane_connections_closed_idle", metric.WithDescription("callers' connections that this process closed while they were idle")); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	gauge, err := meter.Int64ObservableGauge("lagoonlane_connections", metric.WithDescription("callers' connections by state"))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		counts := c.Counts()
+		o.ObserveInt64(gauge, counts.Active, metric.WithAttributes(attribute.String("state", "active")))
+		o.ObserveInt64(gauge, counts.Open-counts.Active, metric.WithAttributes(attribute.String("state", "idle")))
+		return nil
+	}, gauge)
+	return c, errors.WithStack(err)
+}
+
+// Counts returns the counts now.
+func (c *Connections) Counts() ConnectionCounts {
+	return ConnectionCounts{
+		Open: c.open.Load(), Active: c.active.Load(),
+		ClosedIdle: c.closedIdle.Load(), ClosedArriving: c.closedArriving.Load(),
+	}
+}
+
+// Watch makes a server tell of its connections. The server must be served on the
+// listener that it returns.
+func (c *Connections) Watch(server *http.Server, listener net.Listener) net.Listener {
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if watched, ok := conn.(*watchedConn); ok {
+			watched.enter(state)
+		}
+	}
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		watched, ok := conn.(*watchedConn)
+		if !ok {
+			return ctx
+		}
+		ctx, watched.cancel = context.WithCancelCause(ctx)
+		return ctx
+	}
+	return &watchedListener{Listener: listener, connections: c}
+}
+
+type watchedListener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept implements net.Listener.
+func (l *watchedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &watchedConn{Conn: conn, connections: l.connections}, nil
+}
+
+// end says which side ended a connection.
+type end int32
+
+const (
+	endOpen end = iota
+	// endPeer: the peer closed it, or it broke.
+	endPeer
+	// endTimeout: the peer sent nothing for the server's idle time.
+	endTimeout
+	// endOwn: this process closed it.
+	endOwn
+)
+
+// watchedConn is one connection of a caller.
+type watchedConn struct {
+	net.Conn
+	connections *Connections
+	// cancel ends the requests of the connection; nil until the server has made their
+	// context.
+	cancel context.CancelCauseFunc
+
+	state atomic.Int32
+	ended atomic.Int32
+	// received counts the bytes since the connection was last idle.
+	received atomic.Int64
+	// closedIdle says that this process closed the connection in an idle state, unread
+	// how many bytes the kernel held then.
+	closedIdle atomic.Bool
+	unread     atomic.Int64
+}
+
+// Read implements net.Conn.
+func (w *watchedConn) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	w.received.Add(int64(n))
+	switch {
+	case err == nil || !w.idle():
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.ended.CompareAndSwap(int32(endOpen), int32(endTimeout))
+	default:
+		w.ended.CompareAndSwap(int32(endOpen), int32(endPeer))
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (w *watchedConn) Close() error {
+	if w.ended.CompareAndSwap(int32(endOpen), int32(endOwn)) && w.idle() {
+		w.closedIdle.Store(true)
+		w.unread.Store(int64(unreadBytes(w.Conn)))
+		if w.cancel != nil {
+			// The server may be about to hand a request over to its handler.
+			w.cancel(&ClosedIdleError{})
+		}
+	}
+	return w.Conn.Close()
+}
+
+// idle reports whether the server has no request of the connection.
+func (w *watchedConn) idle() bool {
+	state := http.ConnState(w.state.Load())
+	return state == http.StateIdle || state == http.StateNew
+}
+
+// enter takes a change of state from the server.
+func (w *watchedConn) enter(state http.ConnState) {
+	c := w.connections
+	before := http.ConnState(w.state.Swap(int32(state)))
+	if before == http.StateActive {
+		c.active.Add(-1)
+	}
+	switch state {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateActive:
+		c.active.Add(1)
+	case http.StateIdle:
+		w.received.Store(0)
+	case http.StateHijacked, http.StateClosed:
+		c.open.Add(-1)
+		w.conclude(before)
+	}
+}
+
+// conclude counts a connection that this process closed while it was idle. One that
+// became active after it was closed had a request that the server read too late.
+func (w *watchedConn) conclude(last http.ConnState) {
+	timeout := end(w.ended.Load()) == endTimeout
+	if !timeout && !w.closedIdle.Load() {
+		return
+	}
+	arriving := w.received.Load() > 0 || w.unread.Load() > 0
+	reason := "stop"
+	if timeout {
+		reason = "timeout"
+	}
+	c := w.connections
+	c.closedIdle.Add(1)
+	c.closed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason), attribute.Bool("arriving", arriving)))
+	if !arriving {
+		return
+	}
+	c.closedArriving.Add(1)
+	c.logger.Warn().Str("peer", w.RemoteAddr().String()).Str("reason", reason).Int64("received", w.received.Load()).
+		Int64("unread", w.unread.Load()).Bool("read_whole", last == http.StateActive).Str("outcome", "closed with a request arriving").Msg("connection")
+}
+
+// unreadBytes returns how many bytes have come that nobody has read, up to a few.
+func unreadBytes(conn net.Conn) int {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var some [64]byte
+	n := 0
+	if err := control.Control(func(fd uintptr) {
+		// An error means that there is nothing to read.
+		n, _, _ = unix.Recvfrom(int(fd), some[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}); err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
--- /dev/null
+++ b/internal/transport/connections_test.go
@@ -0,0 +1,145 @@
+package transport_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/lagoonlane/lagoonlane/internal/transport"
+)
+
+// watched is a server whose connections are watched.
+type watched struct {
+	c           *qt.C
+	connections *transport.Connections
+	server      *http.Server
+	address     string
+	mu          sync.Mutex
+	logs        bytes.Buffer
+}
+
+func (w *watched) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.logs.Write(p)
+}
+
+func newWatched(t *testing.T, handler http.HandlerFunc) *watched {
+	c := qt.New(t)
+	w := &watched{c: c, server: &http.Server{Handler: handler}}
+	var err error
+	w.connections, err = transport.NewConnections(zerolog.New(w), nil)
+	c.Assert(err, qt.IsNil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	w.address = listener.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- w.server.Serve(w.connections.Watch(w.server, listener)) }()
+	t.Cleanup(func() {
+		_ = w.server.Close()
+		c.Check(errors.Is(<-served, http.ErrServerClosed), qt.IsTrue)
+	})
+	return w
+}
+
+func (w *watched) dial() net.Conn {
+	conn, err := net.Dial("tcp", w.address)
+	w.c.Assert(err, qt.IsNil)
+	w.c.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func (w *watched) eventually(what string, ok func(transport.ConnectionCounts) bool) {
+	w.c.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if ok(w.connections.Counts()) {
+			return
+		}
+	}
+	w.c.Fatalf("not within 5 s: %s: %+v", what, w.connections.Counts())
+}
+
+const wholeRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+func TestIdleConnectionsThatTheServerClosesAreCounted(t *testing.T) {
+	w := newWatched(t, func(http.ResponseWriter, *http.Request) {})
+	conn := w.dial()
+	fmt.Fprint(conn, wholeRequest)
+	var some [256]byte
+	_, err := conn.Read(some[:])
+	w.c.Assert(err, qt.IsNil)
+	w.eventually("idle", func(n transport.ConnectionCounts) bool { return n.Open == 1 && n.Active == 0 })
+	w.c.Assert(w.server.Shutdown(t.Context()), qt.IsNil)
+	w.eventually("closed", func(n transport.ConnectionCounts) bool { return n.Open == 0 && n.ClosedIdle == 1 })
+	w.c.Assert(w.connections.Counts().ClosedArriving, qt.Equals, int64(0))
+	w.c.Assert(w.logs.Len(), qt.Equals, 0)
+}
+
+func TestConnectionsThatCallersCloseAreNotCounted(t *testing.T) {
+	w := newWatched(t, func(http.ResponseWriter, *http.Request) {})
+	conn := w.dial()
+	fmt.Fprint(conn, wholeRequest)
+	w.eventually("idle", func(n transport.ConnectionCounts) bool { return n.Open == 1 && n.Active == 0 })
+	conn.Close()
+	w.eventually("closed", func(n transport.ConnectionCounts) bool { return n.Open == 0 })
+	w.c.Assert(w.connections.Counts().ClosedIdle, qt.Equals, int64(0))
+}
+
+// Part of a request has come when the server closes the connection as idle: the caller
+// loses that request, which must show.
+func TestConnectionClosedWhileARequestArrivesHasALine(t *testing.T) {
+	w := newWatched(t, func(http.ResponseWriter, *http.Request) {})
+	conn := w.dial()
+	fmt.Fprint(conn, wholeRequest)
+	var some [256]byte
+	_, err := conn.Read(some[:])
+	w.c.Assert(err, qt.IsNil)
+	w.eventually("idle", func(n transport.ConnectionCounts) bool { return n.Open == 1 && n.Active == 0 })
+	fmt.Fprint(conn, "GET /next HTTP/1.1\r\n")
+	// The server has the bytes once it has read them; where it hasn't, they are unread.
+	time.Sleep(50 * time.Millisecond)
+	w.c.Assert(w.server.Shutdown(t.Context()), qt.IsNil)
+	w.eventually("closed", func(n transport.ConnectionCounts) bool { return n.ClosedArriving == 1 })
+	w.eventually("line", func(transport.ConnectionCounts) bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.logs.Len() > 0
+	})
+	var line map[string]any
+	w.c.Assert(json.Unmarshal(w.logs.Bytes(), &line), qt.IsNil)
+	w.c.Assert(line["outcome"], qt.Equals, "closed with a request arriving")
+	w.c.Assert(line["reason"], qt.Equals, "stop")
+	w.c.Assert(line["received"], qt.Equals, float64(len("GET /next HTTP/1.1\r\n")))
+}
+
+// A connection that is closed under a running request isn't idle.
+func TestActiveConnectionIsNotClosedIdle(t *testing.T) {
+	running := make(chan context.Context)
+	w := newWatched(t, func(_ http.ResponseWriter, r *http.Request) {
+		running <- r.Context()
+		<-r.Context().Done()
+	})
+	conn := w.dial()
+	fmt.Fprint(conn, wholeRequest)
+	ctx := <-running
+	w.c.Assert(w.connections.Counts().Active, qt.Equals, int64(1))
+	w.c.Assert(w.server.Close(), qt.IsNil)
+	<-ctx.Done()
+	_, err := io.ReadAll(conn)
+	w.c.Assert(err, qt.IsNil)
+	w.eventually("closed", func(n transport.ConnectionCounts) bool { return n.Open == 0 })
+	w.c.Assert(w.connections.Counts().ClosedIdle, qt.Equals, int64(0))
+	var idle *transport.ClosedIdleError
+	w.c.Assert(errors.As(context.Cause(ctx), &idle), qt.IsFalse)
+}
