Tell a stop from a death in the log

A process that a signal ended said nothing: "stopping" and then the next "started". Nothing said how many requests a stop cut, which ones, or how many connections were closed while idle. Errors of net/http (panics of handlers, failures to accept) went to stderr as plain text.

Change: "starting" is the first line of a process, with pid, boot id, digest of the settings file and build; "started", "stopping" (with its cause), "closing idle connections" and "stopped" carry the boot id and what runs; "stopped" names up to 20 requests that were cut, and comes after their lines. Two "starting" without a "stopped" between them are a death. Gauges lagoonlane_gateway_running and lagoonlane_connections, counter lagoonlane_connections_closed_idle. Reloads name what changed. http.Server.ErrorLog goes to the log, 20 lines a second at most; the rest is counted in lagoonlane_log_lines_limited.

Checked: go test -race ./internal/telemetry ./cmd/... ./platform/...

--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"io"
 	"net"
 	"net/http"
@@ -69,6 +68,7 @@
 	internal *http.ServeMux
 	// servers are closed when the process ends.
 	servers []*http.Server
+	lifecycleLog
 }
 
 func newNode(role string, metricsPort int) (*node, error) {
@@ -92,10 +92,12 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
 	}
+	life, err := newLifecycleLog(logger, metrics.Meter, settings)
 	if metricsPort > 0 {
 		settings.Metrics = net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort))
 	}
-	return &node{settings: settings, logger: logger, logs: out, metrics: metrics, internal: http.NewServeMux()}, nil
+	n := &node{settings: settings, logger: logger, logs: out, metrics: metrics, internal: http.NewServeMux(), lifecycleLog: life}
+	return n, err
 }
 
 // listen serves a handler on an address until the node ends.
@@ -104,6 +106,7 @@
 	if err != nil {
 		return errors.WithStack(&ListenError{Address: address, Cause: err})
 	}
+	listener = n.watch(server, listener, address)
 	n.servers = append(n.servers, server)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -129,12 +132,13 @@
 	for _, run := range work {
 		group.Go(func() error { return untilDone(groupCtx, run) })
 	}
-	n.logger.Info().Str("internal", n.settings.Internal).Str("front", n.settings.Front).Str("outcome", "started").Msg("process")
+	n.started()
 	n.watchSettings(ctx)
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.ShutdownGrace-exitMargin)
 	defer cancel()
-	n.logger.Info().Str("outcome", "stopping").Msg("process")
+	n.stopping(ctx)
 	leave(bounded)
+	n.cutRunning()
 	for _, server := range n.servers {
 		if err := server.Close(); err != nil {
 			n.logger.Warn().Err(err).Msg("a listener could not be closed")
@@ -142,7 +146,7 @@
 	}
 	stop()
 	err := group.Wait()
-	n.logger.Info().Str("outcome", "stopped").Msg("process")
+	n.stopped()
 	return errors.WithMessage(firstError(err, n.logs.Close()), "platform role")
 }
 
@@ -166,11 +170,7 @@
 		case <-ctx.Done():
 			return
 		case <-reload:
-			if _, err := platform.LoadSettings(); err != nil {
-				n.logger.Error().Err(err).Str("outcome", "settings kept").Msg("reload")
-				continue
-			}
-			n.logger.Info().Str("outcome", "settings read").Msg("reload")
+			n.reloaded(platform.LoadSettings())
 		}
 	}
 }
@@ -227,7 +227,7 @@
 	peers := transport.NewClient("", nil)
 	pool := limit.NewPool(time.Now())
 	e.roster = roster.New(roster.Options{
-		ID: n.settings.ID, Address: n.settings.Internal, Boot: rand.Text(), Client: peers, Pool: pool,
+		ID: n.settings.ID, Address: n.settings.Internal, Boot: n.boot, Client: peers, Pool: pool,
 		Configuration: e.configuration.Configuration,
 		Offer:         func(raw []byte) { e.configuration.Offer(raw, "peer") },
 		Confirm:       e.configuration.Confirm,
@@ -243,7 +243,7 @@
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
 		},
-		Logger: n.logger, Meter: n.metrics.Meter,
+		Logger: n.logger, Meter: n.metrics.Meter, Requests: n.requests,
 	})
 	return e, err
 }
@@ -325,7 +325,8 @@
 	case <-time.After(leaveAfter):
 	case <-bounded.Done():
 	}
+	e.closingIdle()
 	if err := e.public.Shutdown(bounded); err != nil {
-		e.logger.Warn().Err(err).Msg("requests were still running at the end of the grace time")
+		e.logger.Warn().Err(err).Int64("running", e.requests.Running()).Msg("requests were still running at the end of the grace time")
 	}
 }
--- /dev/null
+++ b/internal/telemetry/limit_test.go
@@ -0,0 +1,54 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lagoonlane/lagoonlane/internal/telemetry"
+)
+
+// A server that fails again and again must not fill the log, and what is left out must
+// be counted.
+func TestErrorsOfAServerAreLinesOfABoundedRate(t *testing.T) {
+	c := qt.New(t)
+	metrics, err := telemetry.NewMetrics()
+	c.Assert(err, qt.IsNil)
+	limiter, err := telemetry.NewLimiter(metrics.Meter)
+	c.Assert(err, qt.IsNil)
+	var out bytes.Buffer
+	errorLog := limiter.ServerErrors(zerolog.New(&out), "public")
+	const repeated = 1000
+	for i := range repeated {
+		errorLog.Printf("http: Accept error: too many open files %d", i)
+	}
+	text := strings.TrimSpace(out.String())
+	written := strings.Split(text, "\n")
+	// The second may change in between.
+	c.Assert(len(written) >= telemetry.LinesPerSecond && len(written) <= 2*telemetry.LinesPerSecond, qt.IsTrue, qt.Commentf("%d lines", len(written)))
+	var line map[string]any
+	c.Assert(json.Unmarshal([]byte(written[0]), &line), qt.IsNil)
+	c.Assert(line["message"], qt.Equals, "http server")
+	c.Assert(line["server"], qt.Equals, "public")
+	c.Assert(line["problem"], qt.Equals, "http: Accept error: too many open files 0")
+	page := httptest.NewRecorder()
+	metrics.Handler.ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	c.Assert(page.Body.String(), qt.Matches, fmt.Sprintf(`(?s).*lagoonlane_log_lines_limited_total\{kind="http server"[^}]*\} %d\n.*`, repeated-len(written)))
+}
+
+// A panic brings a stack of any length.
+func TestErrorOfAServerIsShortened(t *testing.T) {
+	c := qt.New(t)
+	limiter, err := telemetry.NewLimiter(nil)
+	c.Assert(err, qt.IsNil)
+	var out bytes.Buffer
+	limiter.ServerErrors(zerolog.New(&out), "public").Print(strings.Repeat("x", 1<<20))
+	c.Assert(out.Len() < 8<<10, qt.IsTrue)
+}
