Let the watch of connections stand beside other hooks

Connections.Watch overwrote the server's ConnState and hid CloseWrite and the descriptor of the connection, so that a server that half-closes or looks at a connection could not. Observe chains the hooks, the watched connection passes CloseWrite and SyscallConn on, and is found below other wrappers by NetConn. A read deadline is one of this process's own and ends nothing by itself. The settings line names what a reload changed, and is safe beside the stop.

--- a/cmd/lagoonlane/lifecyclelog.go
+++ b/cmd/lagoonlane/lifecyclelog.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,14 +26,12 @@
 // lifecycleLog writes what a process tells of its own start and end. A process that
 // was killed is known by a start without the line of its end before it.
 type lifecycleLog struct {
-	log zerolog.Logger
-	// loaded are the settings as they were read last.
-	loaded platform.Settings
-	front  string
-	grace  time.Duration
+	log   zerolog.Logger
+	front string
+	grace time.Duration
 	// boot differs at each start.
 	boot        string
-	began       time.Time
+	startBegan  time.Time
 	stopBegan   time.Time
 	limiter     *telemetry.Limiter
 	requests    *gateway.Requests
@@ -40,20 +39,27 @@
 	// base is the context of all requests; end ends it.
 	base context.Context
 	end  context.CancelCauseFunc
+
+	mu sync.Mutex
+	// loaded are the settings as they were read last.
+	loaded platform.Settings
 }
 
 // newLifecycleLog writes the first line of a process.
-func newLifecycleLog(logger zerolog.Logger, meter metric.Meter, settings platform.Settings) (lifecycleLog, error) {
-	l := lifecycleLog{
+func newLifecycleLog(logger zerolog.Logger, meter metric.Meter, settings platform.Settings) (*lifecycleLog, error) {
+	l := &lifecycleLog{
 		log: logger, loaded: settings, front: settings.Front, grace: settings.Bounds.ShutdownGrace,
-		boot: rand.Text(), began: time.Now(), requests: &gateway.Requests{},
+		boot: rand.Text(), startBegan: time.Now(), requests: &gateway.Requests{},
 	}
 	l.base, l.end = context.WithCancelCause(context.Background())
-	l.log.Info().Int("pid", os.Getpid()).Str("boot", l.boot).Str("settings", settings.Digest).Str("build", buildRevision()).
-		Str("outcome", "starting").Msg("process")
+	event := l.log.Info().Int("pid", os.Getpid()).Str("boot", l.boot).Str("settings", settings.Digest)
+	if revision := buildRevision(); revision != "" {
+		event.Str("build", revision)
+	}
+	event.Str("internal", settings.Internal).Str("front", settings.Front).Str("outcome", "starting").Msg("process")
 	var err error
 	if l.limiter, err = telemetry.NewLimiter(meter); err != nil {
-		return l, err
+		return nil, err
 	}
 	l.connections, err = transport.NewConnections(l.limiter.Logger(logger, "connection"), meter)
 	return l, err
@@ -73,30 +79,41 @@
 	return ""
 }
 
-// watch puts a server's own errors into the log and makes its requests end with a
-// cause. It returns the listener to serve on.
-func (l *lifecycleLog) watch(server *http.Server, listener net.Listener, address string) net.Listener {
-	server.ErrorLog = l.limiter.ServerErrors(l.log, address)
+// prepared puts a server's own errors into the log, and makes its requests end with a
+// cause when the process ends them.
+func (l *lifecycleLog) prepared(server *http.Server, name string) *http.Server {
+	server.ErrorLog = l.limiter.ServerErrors(l.log, name)
 	server.BaseContext = func(net.Listener) context.Context { return l.base }
+	return server
+}
+
+// watched is prepared for the server of the front address, whose connections are counted.
+func (l *lifecycleLog) watched(server *http.Server) *http.Server {
+	l.connections.Observe(server)
+	return l.prepared(server, "front")
+}
+
+// listener returns what the server of an address is served on.
+func (l *lifecycleLog) listener(inner net.Listener, address string) net.Listener {
 	if address != l.front {
-		return listener
+		return inner
 	}
-	return l.connections.Watch(server, listener)
+	return l.connections.Listener(inner)
 }
 
 func (l *lifecycleLog) started() {
-	l.log.Info().Int("pid", os.Getpid()).Str("boot", l.boot).Str("settings", l.loaded.Digest).
-		Str("internal", l.loaded.Internal).Str("front", l.front).Dur("took_ms", time.Since(l.began)).Str("outcome", "started").Msg("process")
+	l.log.Info().Int("pid", os.Getpid()).Str("boot", l.boot).Dur("took_ms", time.Since(l.startBegan)).
+		Str("outcome", "started").Msg("process")
 }
 
 // stopping says why the process stops: the cause of ctx.
 func (l *lifecycleLog) stopping(ctx context.Context) {
 	l.stopBegan = time.Now()
-	event := l.state().AnErr("cause", context.Cause(ctx))
-	event.Dur("grace_ms", l.grace).Str("outcome", "stopping").Msg("process")
+	l.state().AnErr("cause", context.Cause(ctx)).Dur("grace_ms", l.grace).Str("outcome", "stopping").Msg("process")
 }
 
 func (l *lifecycleLog) closingIdle() {
+	l.connections.Stopping()
 	l.state().Dur("took_ms", time.Since(l.stopBegan)).Str("outcome", "closing idle connections").Msg("process")
 }
 
@@ -122,14 +139,17 @@
 		Str("outcome", "stopped").Msg("process")
 }
 
-// reloaded tells what a reading of the settings file has shown. What a process is bound
-// to holds until its next start.
-func (l *lifecycleLog) reloaded(settings platform.Settings, err error) {
+// reload reads the settings file again and tells what has changed in it. What a process
+// is bound to (addresses, store) holds until its next start.
+func (l *lifecycleLog) reload() error {
+	settings, err := platform.LoadSettings()
 	if err != nil {
-		l.log.Error().Err(err).Str("settings", l.loaded.Digest).Str("outcome", "settings kept").Msg("reload")
-		return
+		return err
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.log.Info().Str("settings_before", l.loaded.Digest).Str("settings", settings.Digest).
-		Strs("changes", l.loaded.Changes(settings)).Str("outcome", "settings read").Msg("reload")
+		Strs("changes", l.loaded.Changes(settings)).Msg("settings")
 	l.loaded = settings
+	return nil
 }
--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -68,7 +68,7 @@
 	internal *http.ServeMux
 	// servers are closed when the process ends.
 	servers []*http.Server
-	lifecycleLog
+	*lifecycleLog
 }
 
 func newNode(role string, metricsPort int) (*node, error) {
@@ -93,11 +93,13 @@
 		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
 	}
 	life, err := newLifecycleLog(logger, metrics.Meter, settings)
+	if err != nil {
+		return nil, err
+	}
 	if metricsPort > 0 {
 		settings.Metrics = net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort))
 	}
-	n := &node{settings: settings, logger: logger, logs: out, metrics: metrics, internal: http.NewServeMux(), lifecycleLog: life}
-	return n, err
+	return &node{settings: settings, logger: logger, logs: out, metrics: metrics, internal: http.NewServeMux(), lifecycleLog: life}, nil
 }
 
 // listen serves a handler on an address until the node ends.
@@ -106,7 +108,7 @@
 	if err != nil {
 		return errors.WithStack(&ListenError{Address: address, Cause: err})
 	}
-	listener = n.watch(server, listener, address)
+	listener = n.listener(listener, address)
 	n.servers = append(n.servers, server)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -119,12 +121,12 @@
 
 // listenInternal serves other processes and the metrics page.
 func (n *node) listenInternal(group *errgroup.Group) error {
-	if err := n.listen(group, transport.NewInternalServer(n.internal), n.settings.Internal); err != nil {
+	if err := n.listen(group, n.prepared(transport.NewInternalServer(n.internal), "internal"), n.settings.Internal); err != nil {
 		return err
 	}
 	page := http.NewServeMux()
 	page.Handle("GET /metrics", n.metrics.Handler)
-	return n.listen(group, transport.NewInternalServer(page), n.settings.Metrics)
+	return n.listen(group, n.prepared(transport.NewInternalServer(page), "metrics"), n.settings.Metrics)
 }
 
 // run serves until ctx is done, then lets leave end what is running.
@@ -170,7 +172,11 @@
 		case <-ctx.Done():
 			return
 		case <-reload:
-			n.reloaded(platform.LoadSettings())
+			if err := n.reload(); err != nil {
+				n.logger.Error().Err(err).Str("outcome", "settings kept").Msg("reload")
+				continue
+			}
+			n.logger.Info().Str("outcome", "settings read").Msg("reload")
 		}
 	}
 }
@@ -261,12 +267,13 @@
 	if err := e.listenInternal(group); err != nil {
 		return err
 	}
-	if err := e.listen(group, &http.Server{Handler: e.readiness(), ReadHeaderTimeout: callerHeaderTimeout}, e.settings.Ready); err != nil {
+	ready := e.prepared(&http.Server{Handler: e.readiness(), ReadHeaderTimeout: callerHeaderTimeout}, "ready")
+	if err := e.listen(group, ready, e.settings.Ready); err != nil {
 		return err
 	}
-	e.public = &http.Server{
+	e.public = e.watched(&http.Server{
 		Handler: e.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-	}
+	})
 	if err := e.listen(group, e.public, e.settings.Front); err != nil {
 		return err
 	}
--- a/cmd/lagoonlane/process.go
+++ b/cmd/lagoonlane/process.go
@@ -33,6 +33,7 @@
 	metrics  *telemetry.Metrics
 	internal *http.ServeMux
 	settings settings.Process
+	limiter  *telemetry.Limiter
 	draining atomic.Bool
 }
 
@@ -57,8 +58,13 @@
 	if err != nil {
 		return nil, err
 	}
+	limiter, err := telemetry.NewLimiter(metrics.Meter)
+	if err != nil {
+		return nil, err
+	}
 	return &process{
 		logger:   logger.With().Str("data_centre", own.DataCentre).Logger(),
+		limiter:  limiter,
 		metrics:  metrics,
 		internal: http.NewServeMux(),
 		settings: own,
@@ -102,6 +108,7 @@
 // startServers opens the listeners and serves them in the group.
 func (p *process) startServers(group *errgroup.Group, life lifecycle) ([]*http.Server, error) {
 	internal := transport.NewInternalServer(p.internalHandler(life.ready))
+	internal.ErrorLog = p.limiter.ServerErrors(p.logger, "internal")
 	if err := startServer(group, internal, p.settings.Internal); err != nil {
 		return nil, err
 	}
@@ -109,6 +116,7 @@
 		return []*http.Server{internal}, nil
 	}
 	public := transport.NewPublicServer(p.publicHandler(life))
+	public.ErrorLog = p.limiter.ServerErrors(p.logger, "public")
 	if err := startServer(group, public, p.settings.Public); err != nil {
 		_ = internal.Close()
 		_ = group.Wait()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,7 +216,10 @@
 		return
 	}
 	if failure.Cut != "" {
-		event.Str("cut_by", string(failure.Cut)).Str("no_retry", p.noRetry)
+		event.Str("cut_by", string(failure.Cut))
+	}
+	if failure.Cut != "" && failure.Cut == p.broken {
+		event.Str("no_retry", p.noRetry)
 	}
 	if p.started() {
 		event.Str("last_event", p.relay.lastID)
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -43,6 +44,7 @@
 	logger zerolog.Logger
 	closed metric.Int64Counter
 
+	stopping                   atomic.Bool
 	open, active               atomic.Int64
 	closedIdle, closedArriving atomic.Int64
 }
@@ -79,25 +81,37 @@
 	}
 }
 
-// Watch makes a server tell of its connections. The server must be served on the
-// listener that it returns.
-func (c *Connections) Watch(server *http.Server, listener net.Listener) net.Listener {
+// Observe makes a server tell of its connections, beside the hooks that it has. The
+// server must be served on what Listener returns.
+func (c *Connections) Observe(server *http.Server) {
+	nextState, nextContext := server.ConnState, server.ConnContext
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
-		if watched, ok := conn.(*watchedConn); ok {
+		if watched := findWatched(conn); watched != nil {
 			watched.enter(state)
 		}
+		if nextState != nil {
+			nextState(conn, state)
+		}
 	}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		watched, ok := conn.(*watchedConn)
-		if !ok {
-			return ctx
+		if nextContext != nil {
+			ctx = nextContext(ctx, conn)
+		}
+		if watched := findWatched(conn); watched != nil {
+			ctx, watched.cancel = context.WithCancelCause(ctx)
 		}
-		ctx, watched.cancel = context.WithCancelCause(ctx)
 		return ctx
 	}
-	return &watchedListener{Listener: listener, connections: c}
 }
 
+// Listener returns a listener whose connections are watched.
+func (c *Connections) Listener(inner net.Listener) net.Listener {
+	return &watchedListener{Listener: inner, connections: c}
+}
+
+// Stopping says that from now on connections are closed because the process stops.
+func (c *Connections) Stopping() { c.stopping.Store(true) }
+
 type watchedListener struct {
 	net.Listener
 	connections *Connections
@@ -112,6 +126,22 @@
 	return &watchedConn{Conn: conn, connections: l.connections}, nil
 }
 
+// SyscallConn implements syscall.Conn.
+func (l *watchedListener) SyscallConn() (syscall.RawConn, error) {
+	if raw, ok := l.Listener.(syscall.Conn); ok {
+		return raw.SyscallConn()
+	}
+	return nil, errors.WithStack(syscall.EINVAL)
+}
+
+// SetDeadline bounds Accept, where the listener can be bounded.
+func (l *watchedListener) SetDeadline(t time.Time) error {
+	if bounded, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		return bounded.SetDeadline(t)
+	}
+	return errors.WithStack(os.ErrNoDeadline)
+}
+
 // end says which side ended a connection.
 type end int32
 
@@ -119,8 +149,6 @@
 	endOpen end = iota
 	// endPeer: the peer closed it, or it broke.
 	endPeer
-	// endTimeout: the peer sent nothing for the server's idle time.
-	endTimeout
 	// endOwn: this process closed it.
 	endOwn
 )
@@ -143,15 +171,27 @@
 	unread     atomic.Int64
 }
 
+// findWatched returns the watched connection below a server's connection, or nil.
+func findWatched(conn net.Conn) *watchedConn {
+	for conn != nil {
+		if watched, ok := conn.(*watchedConn); ok {
+			return watched
+		}
+		outer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = outer.NetConn()
+	}
+	return nil
+}
+
 // Read implements net.Conn.
 func (w *watchedConn) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
 	w.received.Add(int64(n))
-	switch {
-	case err == nil || !w.idle():
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		w.ended.CompareAndSwap(int32(endOpen), int32(endTimeout))
-	default:
+	// A deadline is one of this process's own.
+	if err != nil && w.idle() && !errors.Is(err, os.ErrDeadlineExceeded) {
 		w.ended.CompareAndSwap(int32(endOpen), int32(endPeer))
 	}
 	return n, err
@@ -160,8 +200,8 @@
 // Close implements net.Conn.
 func (w *watchedConn) Close() error {
 	if w.ended.CompareAndSwap(int32(endOpen), int32(endOwn)) && w.idle() {
-		w.closedIdle.Store(true)
 		w.unread.Store(int64(unreadBytes(w.Conn)))
+		w.closedIdle.Store(true)
 		if w.cancel != nil {
 			// The server may be about to hand a request over to its handler.
 			w.cancel(&ClosedIdleError{})
@@ -170,6 +210,22 @@
 	return w.Conn.Close()
 }
 
+// CloseWrite lets the server send what is left before it closes the connection.
+func (w *watchedConn) CloseWrite() error {
+	if half, ok := w.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (w *watchedConn) SyscallConn() (syscall.RawConn, error) {
+	if raw, ok := w.Conn.(syscall.Conn); ok {
+		return raw.SyscallConn()
+	}
+	return nil, errors.WithStack(syscall.EINVAL)
+}
+
 // idle reports whether the server has no request of the connection.
 func (w *watchedConn) idle() bool {
 	state := http.ConnState(w.state.Load())
@@ -190,6 +246,10 @@
 		c.active.Add(1)
 	case http.StateIdle:
 		w.received.Store(0)
+		if end(w.ended.Load()) == endOwn {
+			// The server closed it as idle just before it told that it is.
+			w.closedIdle.Store(true)
+		}
 	case http.StateHijacked, http.StateClosed:
 		c.open.Add(-1)
 		w.conclude(before)
@@ -199,16 +259,15 @@
 // conclude counts a connection that this process closed while it was idle. One that
 // became active after it was closed had a request that the server read too late.
 func (w *watchedConn) conclude(last http.ConnState) {
-	timeout := end(w.ended.Load()) == endTimeout
-	if !timeout && !w.closedIdle.Load() {
+	if !w.closedIdle.Load() {
 		return
 	}
+	c := w.connections
 	arriving := w.received.Load() > 0 || w.unread.Load() > 0
-	reason := "stop"
-	if timeout {
-		reason = "timeout"
+	reason := "timeout"
+	if c.stopping.Load() {
+		reason = "stop"
 	}
-	c := w.connections
 	c.closedIdle.Add(1)
 	c.closed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason), attribute.Bool("arriving", arriving)))
 	if !arriving {
--- a/internal/transport/connections_test.go
+++ b/internal/transport/connections_test.go
@@ -35,9 +35,9 @@
 	return w.logs.Write(p)
 }
 
-func newWatched(t *testing.T, handler http.HandlerFunc) *watched {
+func newWatched(t *testing.T, idleTimeout time.Duration, handler http.HandlerFunc) *watched {
 	c := qt.New(t)
-	w := &watched{c: c, server: &http.Server{Handler: handler}}
+	w := &watched{c: c, server: &http.Server{Handler: handler, IdleTimeout: idleTimeout}}
 	var err error
 	w.connections, err = transport.NewConnections(zerolog.New(w), nil)
 	c.Assert(err, qt.IsNil)
@@ -45,7 +45,8 @@
 	c.Assert(err, qt.IsNil)
 	w.address = listener.Addr().String()
 	served := make(chan error, 1)
-	go func() { served <- w.server.Serve(w.connections.Watch(w.server, listener)) }()
+	w.connections.Observe(w.server)
+	go func() { served <- w.server.Serve(w.connections.Listener(listener)) }()
 	t.Cleanup(func() {
 		_ = w.server.Close()
 		c.Check(errors.Is(<-served, http.ErrServerClosed), qt.IsTrue)
@@ -73,7 +74,7 @@
 const wholeRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 func TestIdleConnectionsThatTheServerClosesAreCounted(t *testing.T) {
-	w := newWatched(t, func(http.ResponseWriter, *http.Request) {})
+	w := newWatched(t, time.Minute, func(http.ResponseWriter, *http.Request) {})
 	conn := w.dial()
 	fmt.Fprint(conn, wholeRequest)
 	var some [256]byte
@@ -87,7 +88,7 @@
 }
 
 func TestConnectionsThatCallersCloseAreNotCounted(t *testing.T) {
-	w := newWatched(t, func(http.ResponseWriter, *http.Request) {})
+	w := newWatched(t, time.Minute, func(http.ResponseWriter, *http.Request) {})
 	conn := w.dial()
 	fmt.Fprint(conn, wholeRequest)
 	w.eventually("idle", func(n transport.ConnectionCounts) bool { return n.Open == 1 && n.Active == 0 })
@@ -99,7 +100,7 @@
 // Part of a request has come when the server closes the connection as idle: the caller
 // loses that request, which must show.
 func TestConnectionClosedWhileARequestArrivesHasALine(t *testing.T) {
-	w := newWatched(t, func(http.ResponseWriter, *http.Request) {})
+	w := newWatched(t, time.Minute, func(http.ResponseWriter, *http.Request) {})
 	conn := w.dial()
 	fmt.Fprint(conn, wholeRequest)
 	var some [256]byte
@@ -109,6 +110,7 @@
 	fmt.Fprint(conn, "GET /next HTTP/1.1\r\n")
 	// The server has the bytes once it has read them; where it hasn't, they are unread.
 	time.Sleep(50 * time.Millisecond)
+	w.connections.Stopping()
 	w.c.Assert(w.server.Shutdown(t.Context()), qt.IsNil)
 	w.eventually("closed", func(n transport.ConnectionCounts) bool { return n.ClosedArriving == 1 })
 	w.eventually("line", func(transport.ConnectionCounts) bool {
@@ -123,10 +125,20 @@
 	w.c.Assert(line["received"], qt.Equals, float64(len("GET /next HTTP/1.1\r\n")))
 }
 
+func TestIdleTimeoutIsCountedOnce(t *testing.T) {
+	w := newWatched(t, 20*time.Millisecond, func(http.ResponseWriter, *http.Request) {})
+	conn := w.dial()
+	fmt.Fprint(conn, wholeRequest)
+	_, err := io.ReadAll(conn)
+	w.c.Assert(err, qt.IsNil)
+	w.eventually("closed", func(n transport.ConnectionCounts) bool { return n.Open == 0 && n.ClosedIdle == 1 })
+	w.c.Assert(w.connections.Counts().ClosedArriving, qt.Equals, int64(0))
+}
+
 // A connection that is closed under a running request isn't idle.
 func TestActiveConnectionIsNotClosedIdle(t *testing.T) {
 	running := make(chan context.Context)
-	w := newWatched(t, func(_ http.ResponseWriter, r *http.Request) {
+	w := newWatched(t, time.Minute, func(_ http.ResponseWriter, r *http.Request) {
 		running <- r.Context()
 		<-r.Context().Done()
 	})
