Give each decision that could lose a request a line

Some decisions and errors left no trace: a stall that was left or waited out, a stream that went on elsewhere, a connection for slots that broke with tickets open (a dead entry can't name its requests; its sidecars can), an answer to another request that was passed over, a break of a kept connection against one of a new one, readiness that changed, background work or a listener that ended while the process went on, and a refusal that the caller never got.

Change: lines "stall", "repeat", "slot connection", "stray answer", "readiness", "background work", "listener". Each carries its inputs. Lines that a fault could repeat are limited to 20 a second of a kind; "stall" and "repeat" are bounded by the sends. BrokenError says whether the connection was kept. No decision changes.

TestStopAndCutRequestsAreTold runs an entry against the stand-in of the platform and reads its lines and its metrics address.

--- a/cmd/lagoonlane/lifecyclelog.go
+++ b/cmd/lagoonlane/lifecyclelog.go
@@ -26,7 +26,9 @@
 // lifecycleLog writes what a process tells of its own start and end. A process that
 // was killed is known by a start without the line of its end before it.
 type lifecycleLog struct {
-	log   zerolog.Logger
+	log zerolog.Logger
+	// lines is the logger for what a fault may repeat.
+	lines zerolog.Logger
 	front string
 	grace time.Duration
 	// boot differs at each start.
@@ -41,6 +43,9 @@
 	end  context.CancelCauseFunc
 
 	mu sync.Mutex
+	// notReady is what the balancer was told last, if it was told.
+	notReady string
+	told     bool
 	// loaded are the settings as they were read last.
 	loaded platform.Settings
 }
@@ -61,6 +66,7 @@
 	if l.limiter, err = telemetry.NewLimiter(meter); err != nil {
 		return nil, err
 	}
+	l.lines = l.limiter.Logger(logger, "process")
 	l.connections, err = transport.NewConnections(l.limiter.Logger(logger, "connection"), meter)
 	return l, err
 }
@@ -139,6 +145,21 @@
 		Str("outcome", "stopped").Msg("process")
 }
 
+// readinessTold notes what the balancer is told: why the process isn't ready, or "".
+func (l *lifecycleLog) readinessTold(reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.told && l.notReady == reason {
+		return
+	}
+	l.told, l.notReady = true, reason
+	outcome := "ready"
+	if reason != "" {
+		outcome = "not ready"
+	}
+	l.lines.Info().Str("reason", reason).Str("outcome", outcome).Msg("readiness")
+}
+
 // reload reads the settings file again and tells what has changed in it. What a process
 // is bound to (addresses, store) holds until its next start.
 func (l *lifecycleLog) reload() error {
--- /dev/null
+++ b/cmd/lagoonlane/lifecyclelog_test.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lagoonlane/lagoonlane/platform"
+	"github.com/lagoonlane/lagoonlane/platform/standin"
+)
+
+// noLedger ignores what a backend server sees.
+type noLedger struct{}
+
+func (noLedger) Arrived(*standin.Server, string, time.Time) {}
+func (noLedger) Ran(standin.Run)                            {}
+
+// told is an entry in this process, before one backend server that streams for long.
+type told struct {
+	c       *qt.C
+	front   string
+	ready   string
+	metrics string
+	file    string
+	out     string
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func newTold(t *testing.T) *told {
+	c := qt.New(t)
+	dir := c.TempDir()
+	w := &told{c: c, front: freeAddress(c), ready: freeAddress(c), metrics: freeAddress(c), file: filepath.Join(dir, "settings.toml"), out: filepath.Join(dir, "log")}
+	store := standin.NewStore()
+	storing := httptest.NewServer(store)
+	c.Cleanup(storing.Close)
+	backend := &standin.Server{
+		ID: "i-1", Service: "plain", Registered: freeAddress(c), Slots: 4, Events: 1 << 20, Born: time.Now(), Ledger: noLedger{},
+	}
+	backend.Address = backend.Registered
+	c.Assert(backend.Start(), qt.IsNil)
+	c.Cleanup(backend.Stop)
+	store.PutManifest(standin.Manifest{
+		Version: 1,
+		Routes: []standin.Route{{
+			Name: "stream", Host: standin.Host, PathPrefix: "/stream/", Kind: "streaming", Service: "plain",
+			MaxServers: 1, TimeoutMS: 60_000, AimMS: 1000, GapMS: 1000,
+		}},
+		Services: []standin.Service{{Name: "plain"}},
+		Accounts: []standin.Account{{Name: "open", Keys: []string{"key-open"}, Unit: "token_count", Plain: 1}},
+	})
+	store.PutServer(backend, 1, false)
+	_, port, err := net.SplitHostPort(freeAddress(c))
+	c.Assert(err, qt.IsNil)
+	var internal int
+	_, err = fmt.Sscan(port, &internal)
+	c.Assert(err, qt.IsNil)
+	machine := standin.Machine{
+		Name: "edge", IP: "127.0.0.1", Front: w.front, Ready: w.ready, Store: storing.Listener.Addr().String(), InternalPort: internal,
+	}
+	// The shortest grace time in which a stop shows all its steps.
+	settings := strings.Replace(machine.Settings(), "grace_s = 8\n", "grace_s = 3.5\n", 1)
+	c.Assert(os.WriteFile(w.file, []byte(settings), 0o600), qt.IsNil)
+	t.Setenv(standin.SettingsVariable, w.file)
+	out, err := os.Create(w.out)
+	c.Assert(err, qt.IsNil)
+	stdout := os.Stdout
+	os.Stdout = out
+	c.Cleanup(func() { os.Stdout = stdout; out.Close() })
+	return w
+}
+
+// lines returns what the process wrote.
+func (w *told) lines() []map[string]any {
+	file, err := os.Open(w.out)
+	w.c.Assert(err, qt.IsNil)
+	defer file.Close()
+	var all []map[string]any
+	for scanner := bufio.NewScanner(file); scanner.Scan(); {
+		var line map[string]any
+		w.c.Assert(json.Unmarshal(scanner.Bytes(), &line), qt.IsNil)
+		all = append(all, line)
+	}
+	return all
+}
+
+// page returns the metrics page.
+func (w *told) page() string {
+	response, err := http.Get("http://" + w.metrics + "/metrics")
+	w.c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	w.c.Assert(err, qt.IsNil)
+	return string(body)
+}
+
+// open begins a stream and reads its first event.
+func (w *told) open(id string) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+w.front+"/stream/x", strings.NewReader("p"))
+	w.c.Assert(err, qt.IsNil)
+	request.Host = standin.Host
+	request.Header = standin.Ask{ID: id, Key: "key-open", Patience: time.Minute}.Header()
+	response, err := http.DefaultClient.Do(request)
+	w.c.Assert(err, qt.IsNil)
+	w.c.Cleanup(func() { response.Body.Close() })
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	_, err = bufio.NewReader(response.Body).ReadString('\n')
+	w.c.Assert(err, qt.IsNil)
+}
+
+// stopError is why a test stops a process.
+type stopError struct{}
+
+func (*stopError) Error() string { return "the test stops it" }
+
+func TestStopAndCutRequestsAreTold(t *testing.T) {
+	w := newTold(t)
+	ctx, stop := context.WithCancelCause(t.Context())
+	_, port, err := net.SplitHostPort(w.metrics)
+	w.c.Assert(err, qt.IsNil)
+	var metricsPort int
+	_, err = fmt.Sscan(port, &metricsPort)
+	w.c.Assert(err, qt.IsNil)
+	ended := make(chan error, 1)
+	go func() { ended <- runPlatformEntry(ctx, metricsPort) }()
+	w.awaitReady()
+	w.open("running")
+	idle, err := net.Dial("tcp", w.front)
+	w.c.Assert(err, qt.IsNil)
+	defer idle.Close()
+	fmt.Fprint(idle, "GET / HTTP/1.1\r\nHost: nobody\r\n\r\n")
+	var some [4096]byte
+	_, err = idle.Read(some[:])
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(w.page(), qt.Matches, `(?s).*\nlagoonlane_connections\{[^}]*state="active"\} 1\n.*`)
+	w.c.Assert(w.page(), qt.Matches, `(?s).*\nlagoonlane_connections\{[^}]*state="idle"\} 1\n.*`)
+	w.c.Assert(w.page(), qt.Matches, `(?s).*\nlagoonlane_gateway_running\{[^}]*\} 1\n.*`)
+	stop(&stopError{})
+	w.c.Assert(<-ended, qt.IsNil)
+
+	outcomes, request, stopped := w.stopLines()
+	w.c.Assert(outcomes, qt.DeepEquals, []string{"starting", "started", "stopping", "closing idle connections", "stopped"})
+	w.c.Assert(request["cut_by"], qt.Equals, "stopped")
+	w.c.Assert(stopped["requests_cut"], qt.Equals, 1.0)
+	w.c.Assert(stopped["request_ids"], qt.DeepEquals, []any{"running"})
+	w.c.Assert(stopped["closed_idle"], qt.Equals, 1.0)
+	w.c.Assert(stopped["closed_arriving"], qt.Equals, 0.0)
+	w.c.Assert(stopped["running"], qt.Equals, 0.0)
+}
+
+// awaitReady waits until the balancer would use the entry.
+func (w *told) awaitReady() {
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		response, err := http.Get("http://" + w.ready + platform.ReadyPath)
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	w.c.Fatal("not ready within 10 s")
+}
+
+// stopLines returns the outcomes of a process that has ended, in order, the line of the
+// request that it cut, which must come before the last one, and the last line.
+func (w *told) stopLines() (outcomes []string, request, stopped map[string]any) {
+	all := w.lines()
+	for i, line := range all {
+		switch line["message"] {
+		case "process":
+			outcomes = append(outcomes, line["outcome"].(string))
+			w.c.Assert(line["boot"], qt.Equals, all[0]["boot"])
+		case "request":
+			if line["request_id"] == "running" {
+				w.c.Assert(i < len(all)-1, qt.IsTrue)
+				request = line
+			}
+		}
+	}
+	stopping := slices.IndexFunc(all, func(line map[string]any) bool { return line["outcome"] == "stopping" })
+	w.c.Assert(all[stopping]["cause"], qt.Equals, (&stopError{}).Error())
+	w.c.Assert(all[stopping]["running"], qt.Equals, 1.0)
+	return outcomes, request, all[len(all)-1]
+}
--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -112,6 +112,7 @@
 	n.servers = append(n.servers, server)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.logger.Error().Str("address", address).Err(err).Str("outcome", "no longer served").Msg("listener")
 			return errors.WithStack(err)
 		}
 		return nil
@@ -132,7 +133,13 @@
 // run serves until ctx is done, then lets leave end what is running.
 func (n *node) run(ctx context.Context, group *errgroup.Group, groupCtx context.Context, stop context.CancelFunc, work []runFunc, leave func(context.Context)) error {
 	for _, run := range work {
-		group.Go(func() error { return untilDone(groupCtx, run) })
+		group.Go(func() error {
+			err := untilDone(groupCtx, run)
+			if err != nil {
+				n.logger.Error().Err(err).Str("outcome", "ended").Msg("background work")
+			}
+			return err
+		})
 	}
 	n.started()
 	n.watchSettings(ctx)
@@ -188,9 +195,10 @@
 		return err
 	}
 	server := slots.NewServer(slots.ServerOptions{
-		Queue:  admission.NewSlotQueue(admission.SlotOptions{}),
-		Probe:  platform.NewEngineProbe(n.settings.Engine),
-		Logger: n.logger,
+		Queue:   admission.NewSlotQueue(admission.SlotOptions{}),
+		Probe:   platform.NewEngineProbe(n.settings.Engine),
+		Logger:  n.logger,
+		Limiter: n.limiter,
 	})
 	n.internal.Handle("GET "+slots.Path, server)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -225,8 +233,13 @@
 	holder := &fleet.Holder{}
 	e.configuration = platform.NewConfigurationSource(holder, n.logger)
 	codec := platform.Codec{}
+	strays := n.limiter.Logger(n.logger, "stray answer")
 	e.upstream = upstream.New(upstream.Options{
 		IDOf: func(h http.Header) string { return codec.DecodeAnswer(h).RequestID },
+		Stray: func(server, sent, answered string) {
+			strays.Warn().Str("request_id", sent).Str("backend_server", server).Str("answered", answered).
+				Str("outcome", "passed over").Msg("stray answer")
+		},
 	})
 	e.servers = platform.NewServerSource(e.directory, n.logger)
 	e.servers.Gone = e.upstream.Forget
@@ -239,17 +252,19 @@
 		Confirm:       e.configuration.Confirm,
 		Logger:        n.logger,
 	})
+	sidecars := slots.NewClient(nil)
+	sidecars.Logger = n.limiter.Logger(n.logger, "slot connection")
 	bounds := n.settings.Bounds
 	e.gateway, err = gateway.New(gateway.Options{
 		DataCentre: n.settings.DataCentre, Codec: codec, Manifest: holder, Directory: e.directory,
-		Upstream: e.upstream, Slots: slots.NewClient(nil),
+		Upstream: e.upstream, Slots: sidecars,
 		SlotAddress: gateway.SlotAddress(strconv.Itoa(n.settings.InternalPort)),
 		Lateness:    e.lateness, Entries: e.roster.Entries, Limits: pool,
 		Bounds: gateway.Bounds{
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
 		},
-		Logger: n.logger, Meter: n.metrics.Meter, Requests: n.requests,
+		Logger: n.logger, Meter: n.metrics.Meter, Limiter: n.limiter, Requests: n.requests,
 	})
 	return e, err
 }
@@ -296,7 +311,9 @@
 func (e *entryNode) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !e.gateway.Ready() {
+		reason := e.gateway.NotReady()
+		e.readinessTold(reason)
+		if reason != "" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -164,6 +164,45 @@
 	w.c.Assert(line["cut_by"], qt.Equals, string(gateway.CutStalled))
 	w.c.Assert(line["no_retry"], qt.Equals, "the service has no backend server that can be tried")
 	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"stalled": "1"})
+	stall := w.line("stall")
+	w.c.Assert(stall["outcome"], qt.Equals, "given up")
+	w.c.Assert(stall["events"], qt.Equals, 2.0)
+	w.c.Assert(stall["gap_limit_ms"], qt.Equals, 500.0)
+	w.c.Assert(stall["pause_ms"].(float64) >= 499, qt.IsTrue, qt.Commentf("%v", stall["pause_ms"]))
+	w.c.Assert(stall["backend_server"], qt.Not(qt.Equals), line["backend_server"], qt.Commentf("the last send went to the other server"))
+}
+
+// A stream that goes on elsewhere says from which event, and what ended it before.
+func TestRepeatHasALine(t *testing.T) {
+	var first sync.Once
+	s := func(request *http.Request, conn net.Conn) {
+		answer := func(request *http.Request, conn net.Conn) { events(request, conn, 3, 3, false) }
+		first.Do(func() { answer = func(request *http.Request, conn net.Conn) { events(request, conn, 1, 2, true) } })
+		answer(request, conn)
+	}
+	w := newWorld(t, s, s)
+	_, body, err := w.call("POST", "/resumable/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(body, qt.Equals, threeEvents)
+	line := w.line("repeat")
+	w.c.Assert(line["from_event"], qt.Equals, "2")
+	w.c.Assert(line["broken_by"], qt.Equals, string(gateway.CutBackendServer))
+	w.c.Assert(line["before"], qt.Not(qt.Equals), line["backend_server"])
+	w.c.Assert(w.cuts(), qt.HasLen, 0)
+}
+
+// A request that comes while the process leaves, and is refused, says how much time there was.
+func TestRefusalDuringAStopTellsTheTimeLeft(t *testing.T) {
+	w := newWorld(t, whole(200, "x"))
+	w.gateway.Leave(time.Second)
+	response, _, err := w.call("GET", "/safe/x", "")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	line := w.line("request")
+	w.c.Assert(line["reason"], qt.Equals, "this process is about to stop")
+	left := line["stop_in_ms"].(float64)
+	w.c.Assert(left > 0 && left <= 1000, qt.IsTrue, qt.Commentf("%v", left))
+	w.c.Assert(line["cut_by"], qt.IsNil)
 }
 
 func TestCutByTheBackendServer(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
+	"github.com/lagoonlane/lagoonlane/internal/telemetry"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
 
@@ -35,7 +36,7 @@
 	Retries      RetryBounds
 }
 
-// Options configure a Gateway. All but Meter, Lateness and Requests are required.
+// Options configure a Gateway. All but Meter, Lateness, Limiter and Requests are required.
 type Options struct {
 	DataCentre string
 	Codec      Codec
@@ -53,6 +54,8 @@
 	Bounds  Bounds
 	Logger  zerolog.Logger
 	Meter   metric.Meter
+	// Limiter bounds the lines that a fault could repeat; may be nil.
+	Limiter *telemetry.Limiter
 	// Requests gets the requests that run; nil: the gateway counts for itself.
 	Requests *Requests
 }
@@ -61,6 +64,8 @@
 type Gateway struct {
 	options Options
 	logger  zerolog.Logger
+	// lines is the logger for what a fault may repeat.
+	lines   zerolog.Logger
 	metrics *metrics
 	servers *serverTable
 	retries *retryBudget
@@ -77,6 +82,7 @@
 	g := &Gateway{
 		options: options,
 		logger:  options.Logger,
+		lines:   options.Limiter.Logger(options.Logger, "gateway"),
 		servers: newServerTable(options.DataCentre),
 		retries: newRetryBudget(options.Bounds.Retries),
 	}
@@ -90,12 +96,24 @@
 // Ready reports whether callers can be served: configuration and backend servers are
 // known, the configuration is recent enough to check keys for a while, and there is
 // processor time for more callers.
-func (g *Gateway) Ready() bool {
+func (g *Gateway) Ready() bool { return g.NotReady() == "" }
+
+// NotReady says why callers can't be served; empty: they can.
+func (g *Gateway) NotReady() string {
 	manifest, confirmed := g.options.Manifest.Current()
-	if g.leaving.Load() != 0 || manifest == nil || !g.options.Directory.Loaded() || g.overloaded() {
-		return false
+	switch {
+	case g.leaving.Load() != 0:
+		return "stopping"
+	case manifest == nil:
+		return "no configuration yet"
+	case !g.options.Directory.Loaded():
+		return "no backend servers known yet"
+	case g.overloaded():
+		return "short of processor time"
+	case manifest.HasAccounts && steady.Since(confirmed) >= g.options.Bounds.RevokeWithin/2:
+		return "the configuration may be out of date"
 	}
-	return !manifest.HasAccounts || steady.Since(confirmed) < g.options.Bounds.RevokeWithin/2
+	return ""
 }
 
 // Leave makes every answer from now on close its connection, and refuses requests
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -86,6 +86,6 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(f.Status)
 	if _, err := w.Write(body); err != nil {
-		g.logger.Debug().Str("request_id", one.info.ID).Err(err).Msg("the caller left before its answer")
+		g.lines.Info().Str("request_id", one.info.ID).Int("status", f.Status).Err(err).Msg("the caller left before its refusal")
 	}
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -183,10 +183,11 @@
 		return nil
 	case errors.As(result.err, &silent):
 		t.g.servers.sidecarSilent(result.server.ID)
-		t.g.logger.Warn().Str("request_id", t.one.info.ID).Str("backend_server", result.server.ID).Err(result.err).Msg("the sidecar is silent")
+		t.g.lines.Warn().Str("request_id", t.one.info.ID).Str("backend_server", result.server.ID).Err(result.err).Msg("the sidecar is silent")
 		t.rest = append(t.rest, candidate{server: result.server, silent: true})
 		return nil
 	case result.err != nil:
+		// The request has ended, and its line says why.
 		return nil
 	}
 	if !t.g.stillUsable(result.server) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -164,6 +164,10 @@
 
 // send sends a call to the backend server that it was placed at, once.
 func (g *Gateway) send(ctx context.Context, one *call, p *progress, at *placement) (verdict, error) {
+	if p.ran > 0 {
+		g.logger.Info().Str("request_id", one.info.ID).Str("before", p.server).Str("backend_server", at.server.ID).
+			Str("from_event", p.relay.resumeFrom()).Str("broken_by", string(p.broken)).Msg("repeat")
+	}
 	sent := time.Now()
 	g.servers.begin(at.server.ID)
 	p.server = at.server.ID
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/lagoonlane/lagoonlane/internal/steady"
@@ -44,6 +45,9 @@
 	cancel context.CancelCauseFunc
 	// gap is how long a pause between two events may be.
 	gap time.Duration
+	// heard is when the last event came (Unix nanoseconds), or when the request was sent;
+	// events counts them.
+	heard, events atomic.Int64
 }
 
 // watchStall watches a send that may be repeated elsewhere. Others are left alone: the
@@ -54,8 +58,12 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &stallWatch{cancel: cancel, gap: max(minStallGap, stallGaps*one.route.MaxEventGap)}
+	w.heard.Store(time.Now().UnixNano())
+	server := p.server
 	w.timer = time.AfterFunc(g.firstStall(one), func() {
-		if g.mayLeaveStalled(one, p) {
+		leaves := g.mayLeaveStalled(one, p)
+		g.logStall(one, w, server, leaves)
+		if leaves {
 			p.stalled.Store(true)
 			cancel(errStalled)
 		}
@@ -82,8 +90,23 @@
 	return g.retries.take(one.service, g.options.Entries(), now)
 }
 
+// logStall writes a line for a pause that was too long. Whether another backend server
+// took the request is told by the lines that follow: "repeat", or no_retry of "request".
+func (g *Gateway) logStall(one *call, w *stallWatch, server string, leaves bool) {
+	outcome := "waits on"
+	if leaves {
+		outcome = "given up"
+	}
+	g.logger.Info().Str("request_id", one.info.ID).Str("backend_server", server).Int64("events", w.events.Load()).
+		Dur("pause_ms", time.Since(time.Unix(0, w.heard.Load()))).Dur("gap_limit_ms", w.gap).
+		Dur("time_left_ms", steady.Until(one.deadline)).Int("ready", len(g.options.Directory.Ready(one.service, time.Now()))).
+		Str("outcome", outcome).Msg("stall")
+}
+
 // progress says that an event has come.
 func (w *stallWatch) progress() {
+	w.heard.Store(time.Now().UnixNano())
+	w.events.Add(1)
 	if w.timer != nil && w.timer.Stop() {
 		w.timer.Reset(w.gap)
 	}
--- a/internal/slots/client.go
+++ b/internal/slots/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
 	"github.com/lagoonlane/lagoonlane/internal/transport"
@@ -25,7 +26,10 @@
 // Client asks sidecars for slots, over one connection to each. It is safe for
 // concurrent use.
 type Client struct {
-	dial transport.DialFunc
+	// Logger gets a line for each connection that is lost with tickets open; set before
+	// the first use.
+	Logger zerolog.Logger
+	dial   transport.DialFunc
 
 	mu    sync.Mutex
 	links map[string]*clientLink
@@ -46,7 +50,7 @@
 	for _, l := range c.links {
 		<-l.opened
 		if l.link != nil {
-			l.link.close()
+			l.link.end(nil)
 		}
 	}
 }
@@ -75,7 +79,7 @@
 			l.withdraw(t)
 			return nil, l.unreachable(&SilentError{Waited: answerTimeout})
 		case <-l.link.closed:
-			return nil, l.unreachable(&ClosedError{})
+			return nil, l.unreachable(&ClosedError{Cause: l.link.cause})
 		case <-ctx.Done():
 			l.withdraw(t)
 			return nil, errors.WithStack(ctx.Err())
@@ -125,7 +129,8 @@
 	close(l.opened)
 	if l.failure == nil {
 		go l.watch()
-		l.readAnswers()
+		l.link.end(l.readAnswers())
+		c.lost(l)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -134,6 +139,24 @@
 	}
 }
 
+// lost writes a line for a connection that ended with tickets open. Requests that hold a
+// slot go on; their slots are free at the sidecar.
+func (c *Client) lost(l *clientLink) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.tickets) == 0 {
+		return
+	}
+	var named []string
+	for _, t := range l.tickets {
+		if len(named) < maxNamedRequests {
+			named = append(named, t.request)
+		}
+	}
+	c.Logger.Warn().Str("sidecar", l.address).Int("tickets", len(l.tickets)).Strs("request_ids", named).
+		Err(l.link.cause).Str("outcome", "lost").Msg("slot connection")
+}
+
 func (c *Client) open(address string) (*link, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
@@ -195,7 +218,8 @@
 
 // ticket is a request's place in a sidecar's queue, then its slot.
 type ticket struct {
-	number uint64
+	number  uint64
+	request string
 	// answers holds "queued" and the decision at most.
 	answers chan *message
 }
@@ -215,7 +239,7 @@
 }
 
 func (l *clientLink) ask(ask Ask) (*ticket, error) {
-	t := &ticket{answers: make(chan *message, 2)}
+	t := &ticket{request: ask.RequestID, answers: make(chan *message, 2)}
 	now := time.Now()
 	l.mu.Lock()
 	if len(l.tickets) == 0 {
@@ -227,7 +251,7 @@
 	l.mu.Unlock()
 	if !l.link.send(&message{Kind: kindAsk, Ticket: t.number, Ask: &ask}) {
 		l.remove(t.number)
-		return nil, l.unreachable(&ClosedError{})
+		return nil, l.unreachable(&ClosedError{Cause: l.link.cause})
 	}
 	return t, nil
 }
@@ -259,13 +283,13 @@
 	})
 }
 
-// readAnswers hands the sidecar's answers to their tickets until the connection ends.
-func (l *clientLink) readAnswers() {
-	defer l.link.close()
+// readAnswers hands the sidecar's answers to their tickets until the connection ends. It
+// returns why that is.
+func (l *clientLink) readAnswers() error {
 	for {
 		m, err := l.link.read()
 		if err != nil {
-			return
+			return errors.Wrap(err, "read")
 		}
 		l.mu.Lock()
 		l.heard = time.Now()
@@ -277,15 +301,13 @@
 		select {
 		case t.answers <- m:
 		default:
-			// No third answer belongs to a ticket.
-			return
+			return errors.WithStack(&ExtraAnswerError{Ticket: m.Ticket})
 		}
 	}
 }
 
 // watch closes the connection when the sidecar is silent or nothing was asked for long.
 func (l *clientLink) watch() {
-	defer l.link.close()
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
 	looked := time.Now()
@@ -296,25 +318,33 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		if !l.look(now, now.Sub(looked) > 2*pingInterval) {
+		if err := l.look(now, now.Sub(looked) > 2*pingInterval); err != nil {
+			l.link.end(err)
 			return
 		}
 		looked = now
 	}
 }
 
-// look pings the sidecar if there are tickets, and reports whether the connection is of
-// use. After a pause of this process the sidecar gets its time anew.
-func (l *clientLink) look(now time.Time, paused bool) bool {
+// look pings the sidecar if there are tickets, and fails if the connection is of no use.
+// After a pause of this process the sidecar gets its time anew.
+func (l *clientLink) look(now time.Time, paused bool) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if paused {
 		l.heard = now
 	}
-	if len(l.tickets) == 0 {
-		return now.Sub(l.used) < idleLimit
+	switch {
+	case len(l.tickets) == 0 && now.Sub(l.used) >= idleLimit:
+		return errors.WithStack(&IdleError{})
+	case len(l.tickets) == 0:
+		return nil
+	case now.Sub(l.heard) >= silenceLimit:
+		return errors.WithStack(&SilentError{Waited: now.Sub(l.heard)})
+	case !l.link.send(&message{Kind: kindPing}):
+		return errors.WithStack(&ClosedError{})
 	}
-	return now.Sub(l.heard) < silenceLimit && l.link.send(&message{Kind: kindPing})
+	return nil
 }
 
 // Lease is a slot that is held.
--- a/internal/slots/link.go
+++ b/internal/slots/link.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"sync"
+
+	"github.com/pkg/errors"
 )
 
 // link is one connection between an entry and a sidecar. One goroutine writes, one reads.
@@ -15,6 +17,8 @@
 	unsent chan *message
 	closed chan struct{}
 	once   sync.Once
+	// cause is why the connection ended; it is set before closed is closed.
+	cause error
 }
 
 // newLink takes over a connection; buffered holds what was read of it already.
@@ -36,14 +40,13 @@
 	case l.unsent <- m:
 		return true
 	default:
-		l.close()
+		l.end(&OverflowError{Messages: maxUnsentMessages})
 		return false
 	}
 }
 
 // write writes messages; those that wait together go out together.
 func (l *link) write() {
-	defer l.close()
 	out := bufio.NewWriter(l.conn)
 	encoder := json.NewEncoder(out)
 	for {
@@ -52,12 +55,14 @@
 			return
 		case m := <-l.unsent:
 			if err := encoder.Encode(m); err != nil {
+				l.end(errors.Wrap(err, "write"))
 				return
 			}
 			if len(l.unsent) > 0 {
 				continue
 			}
 			if err := out.Flush(); err != nil {
+				l.end(errors.Wrap(err, "write"))
 				return
 			}
 		}
@@ -70,9 +75,10 @@
 	return m, l.reader.Decode(m)
 }
 
-// close ends the connection; both goroutines end with it.
-func (l *link) close() {
+// end ends the connection, and both goroutines with it. The first cause is kept.
+func (l *link) end(cause error) {
 	l.once.Do(func() {
+		l.cause = cause
 		close(l.closed)
 		// Nothing is lost with the connection that the other side doesn't learn by it.
 		_ = l.conn.Close()
--- a/internal/slots/message.go
+++ b/internal/slots/message.go
@@ -24,6 +24,9 @@
 	silenceLimit = 4 * time.Second
 	// idleLimit closes connections without tickets.
 	idleLimit = 15 * time.Second
+	// maxNamedRequests bounds the requests that the line of a lost connection names; the
+	// others have lines of their own.
+	maxNamedRequests = 20
 	// maxUnsentMessages on one connection mean that the other side doesn't read.
 	maxUnsentMessages = 4096
 )
@@ -132,9 +135,39 @@
 func (e *SilentError) Error() string { return fmt.Sprintf("silent for %v", e.Waited) }
 
 // ClosedError says that a connection for slots has ended.
-type ClosedError struct{}
+type ClosedError struct {
+	// Cause is why; nil: this process closed it.
+	Cause error
+}
+
+func (e *ClosedError) Error() string {
+	if e.Cause == nil {
+		return "the connection is closed"
+	}
+	return "the connection is closed: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ClosedError) Unwrap() error { return e.Cause }
+
+// OverflowError says that the other side of a connection doesn't read.
+type OverflowError struct{ Messages int }
 
-func (*ClosedError) Error() string { return "the connection is closed" }
+func (e *OverflowError) Error() string {
+	return fmt.Sprintf("%d messages wait for the other side to read", e.Messages)
+}
+
+// IdleError says that a connection carried no ticket for long.
+type IdleError struct{}
+
+func (*IdleError) Error() string { return "nothing was asked for long" }
+
+// ExtraAnswerError says that a sidecar answered a ticket more often than it may.
+type ExtraAnswerError struct{ Ticket uint64 }
+
+func (e *ExtraAnswerError) Error() string {
+	return fmt.Sprintf("a third answer to the ticket %d", e.Ticket)
+}
 
 // StatusError says that a sidecar answered with an unexpected status.
 type StatusError struct{ Status string }
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/telemetry"
 )
 
 const (
@@ -42,6 +43,8 @@
 	Queue  *admission.SlotQueue
 	Probe  Probe
 	Logger zerolog.Logger
+	// Limiter bounds the lines about connections; may be nil.
+	Limiter *telemetry.Limiter
 }
 
 // Server hands out the slots of one engine.
@@ -49,6 +52,8 @@
 	queue  *admission.SlotQueue
 	probe  Probe
 	logger zerolog.Logger
+	// lines is the logger for what a fault may repeat.
+	lines zerolog.Logger
 
 	mu       sync.Mutex
 	failures int
@@ -56,7 +61,10 @@
 
 // NewServer returns a server that takes its engine to be up.
 func NewServer(options ServerOptions) *Server {
-	return &Server{queue: options.Queue, probe: options.Probe, logger: options.Logger}
+	return &Server{
+		queue: options.Queue, probe: options.Probe, logger: options.Logger,
+		lines: options.Limiter.Logger(options.Logger, "slot connection"),
+	}
 }
 
 // Run watches the engine and the queue until ctx is done.
@@ -116,17 +124,16 @@
 	}
 	conn, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
-		s.logger.Error().Str("peer", r.RemoteAddr).Err(err).Msg("a connection for slots could not be taken over")
+		s.lines.Error().Str("entry", r.RemoteAddr).Err(err).Str("outcome", "not taken over").Msg("slot connection")
 		return
 	}
 	if err := accept(conn, buffered.Writer); err != nil {
-		s.logger.Info().Str("peer", r.RemoteAddr).Err(err).Msg("the entry left before its first ticket")
+		s.lines.Info().Str("entry", r.RemoteAddr).Err(err).Str("outcome", "left before its first ticket").Msg("slot connection")
 		_ = conn.Close()
 		return
 	}
-	one := &serverLink{server: s, link: newLink(conn, buffered.Reader), tickets: map[uint64]*admission.SlotTicket{}}
-	err = one.serve()
-	s.logger.Debug().Str("peer", r.RemoteAddr).Int("tickets", one.open()).Err(err).Msg("connection for slots ended")
+	one := &serverLink{server: s, link: newLink(conn, buffered.Reader), tickets: map[uint64]serverTicket{}}
+	one.lost(r.RemoteAddr, one.serve())
 	one.end()
 }
 
@@ -149,7 +156,46 @@
 
 	mu sync.Mutex
 	// tickets holds what waits or has a slot.
-	tickets map[uint64]*admission.SlotTicket
+	tickets map[uint64]serverTicket
+}
+
+// serverTicket is a place in the queue, then a slot, of a request.
+type serverTicket struct {
+	request string
+	slot    *admission.SlotTicket
+}
+
+// lost writes a line for a connection that ended with tickets open: nothing is known of
+// these requests, unless their entry tells.
+func (l *serverLink) lost(peer string, cause error) {
+	l.link.end(cause)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.tickets) == 0 {
+		return
+	}
+	var named []string
+	granted := 0
+	for _, ticket := range l.tickets {
+		if len(named) < maxNamedRequests {
+			named = append(named, ticket.request)
+		}
+		if ticket.granted() {
+			granted++
+		}
+	}
+	l.server.lines.Warn().Str("entry", peer).Int("tickets", len(l.tickets)).Int("granted", granted).Strs("request_ids", named).
+		Err(l.link.cause).Str("outcome", "lost").Msg("slot connection")
+}
+
+// granted reports whether the request holds a slot.
+func (t serverTicket) granted() bool {
+	select {
+	case <-t.slot.Decided():
+		return t.slot.Refusal() == nil
+	default:
+		return false
+	}
 }
 
 // open returns the number of tickets.
@@ -159,7 +205,7 @@
 	return len(l.tickets)
 }
 
-func (l *serverLink) put(number uint64, ticket *admission.SlotTicket) {
+func (l *serverLink) put(number uint64, ticket serverTicket) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.tickets[number] = ticket
@@ -171,7 +217,7 @@
 	defer l.mu.Unlock()
 	ticket := l.tickets[number]
 	delete(l.tickets, number)
-	return ticket
+	return ticket.slot
 }
 
 // serve reads an entry's messages until the connection ends. An entry with tickets
@@ -223,7 +269,7 @@
 	}
 	s.queue.SetCapacity(now, ask.Slots, ask.MemoryTokens)
 	ticket := s.queue.Submit(now, ask.request(now))
-	l.put(number, ticket)
+	l.put(number, serverTicket{request: ask.RequestID, slot: ticket})
 	select {
 	case <-ticket.Decided():
 		l.decided(number, ask, ticket, 0)
@@ -263,12 +309,11 @@
 
 // end frees what the entry held or waited for: nothing is known of its requests.
 func (l *serverLink) end() {
-	l.link.close()
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, ticket := range l.tickets {
-		l.server.queue.Withdraw(now, ticket)
+		l.server.queue.Withdraw(now, ticket.slot)
 	}
 }
 
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -1,7 +1,9 @@
 package slots_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -25,14 +27,43 @@
 	queue   *admission.SlotQueue
 	client  *slots.Client
 	address string
+	// entryLog and sidecarLog are what each end has logged.
+	entryLog, sidecarLog *logBuffer
+}
+
+// logBuffer is a log that several goroutines write.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// line returns the first line with a message, or nil.
+func (l *logBuffer) line(c *qt.C, message string) map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for decoder := json.NewDecoder(bytes.NewReader(l.text.Bytes())); decoder.More(); {
+		var line map[string]any
+		c.Assert(decoder.Decode(&line), qt.IsNil)
+		if line["message"] == message {
+			return line
+		}
+	}
+	return nil
 }
 
 func newSide(t testing.TB) *side {
+	s := &side{entryLog: &logBuffer{}, sidecarLog: &logBuffer{}}
 	queue := admission.NewSlotQueue(admission.SlotOptions{Slots: 1})
 	server := slots.NewServer(slots.ServerOptions{
 		Queue:  queue,
 		Probe:  func(context.Context) (slots.EngineState, error) { return slots.EngineState{}, nil },
-		Logger: zerolog.Nop(),
+		Logger: zerolog.New(s.sidecarLog),
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET "+slots.Path, server)
@@ -40,9 +71,11 @@
 	listening.Config = transport.NewInternalServer(mux)
 	listening.Start()
 	t.Cleanup(listening.Close)
-	client := slots.NewClient(nil)
-	t.Cleanup(client.Close)
-	return &side{queue: queue, client: client, address: listening.Listener.Addr().String()}
+	s.client = slots.NewClient(nil)
+	s.client.Logger = zerolog.New(s.entryLog)
+	t.Cleanup(s.client.Close)
+	s.queue, s.address = queue, listening.Listener.Addr().String()
+	return s
 }
 
 func ask(id string) slots.Ask { return slots.Ask{RequestID: id, BudgetMS: 10_000, Slots: 1} }
@@ -118,6 +151,33 @@
 	c.Assert(err, qt.IsNil)
 }
 
+// A connection that is lost with tickets open names their requests on both sides: an
+// entry that was killed can't tell which requests it lost.
+func TestLostConnectionNamesItsRequests(t *testing.T) {
+	c := qt.New(t)
+	s := newSide(t)
+	_, err := s.client.Acquire(t.Context(), s.address, ask("holds"), nil)
+	c.Assert(err, qt.IsNil)
+	queued, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		_, err := s.client.Acquire(t.Context(), s.address, ask("waits"), func(admission.SlotLoad) { close(queued) })
+		ended <- err
+	}()
+	<-queued
+	s.client.Close()
+	var closed *slots.ClosedError
+	c.Assert(errors.As(awaitError(c, ended), &closed), qt.IsTrue)
+	for side, log := range map[string]*logBuffer{"sidecar": s.entryLog, "entry": s.sidecarLog} {
+		eventually(c, "line about the "+side, func() bool { return log.line(c, "slot connection") != nil })
+		line := log.line(c, "slot connection")
+		c.Assert(line["outcome"], qt.Equals, "lost")
+		c.Assert(line["tickets"], qt.Equals, 2.0)
+		c.Assert(line["request_ids"], qt.ContentEquals, []any{"holds", "waits"})
+		c.Assert(line[side], qt.Not(qt.Equals), "")
+	}
+	c.Assert(s.sidecarLog.line(c, "slot connection")["granted"], qt.Equals, 1.0)
+}
+
 // TestSilentEntryFreesItsSlots takes a slot over a connection and then says nothing,
 // as an entry that lost its power does.
 func TestSilentEntryFreesItsSlots(t *testing.T) {
--- a/internal/telemetry/limit.go
+++ b/internal/telemetry/limit.go
@@ -17,7 +17,8 @@
 // the fault and its spread, and far below what the log takes.
 const LinesPerSecond = 20
 
-// Limiter bounds the lines of a process that a fault could repeat without end.
+// Limiter bounds the lines of a process that a fault could repeat without end. A nil
+// Limiter bounds them too, and doesn't count.
 type Limiter struct {
 	dropped metric.Int64Counter
 }
@@ -35,11 +36,12 @@
 // Logger returns a logger that passes LinesPerSecond lines on and drops and counts the
 // rest under a kind.
 func (l *Limiter) Logger(logger zerolog.Logger, kind string) zerolog.Logger {
-	count := metric.WithAttributes(attribute.String("kind", kind))
-	return logger.Sample(&zerolog.BurstSampler{
-		Burst: LinesPerSecond, Period: time.Second,
-		NextSampler: droppingSampler(func() { l.dropped.Add(context.Background(), 1, count) }),
-	})
+	sampler := &zerolog.BurstSampler{Burst: LinesPerSecond, Period: time.Second}
+	if l != nil {
+		count := metric.WithAttributes(attribute.String("kind", kind))
+		sampler.NextSampler = droppingSampler(func() { l.dropped.Add(context.Background(), 1, count) })
+	}
+	return logger.Sample(sampler)
 }
 
 // droppingSampler drops every line and tells of it.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,7 +35,9 @@
 	server  string
 	reader  *bufio.Reader
 	expires time.Time
-	once    sync.Once
+	// reused says that it has carried a request before.
+	reused bool
+	once   sync.Once
 }
 
 func newConn(raw net.Conn, server string) *conn {
@@ -95,7 +97,7 @@
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
-		return nil, &BrokenError{Address: address, Cause: err}
+		return nil, &BrokenError{Address: address, Reused: c.reused, Cause: err}
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, body: response.Body, closing: response.Close,
@@ -143,6 +145,9 @@
 			return response, nil
 		}
 		stray++
+		if client.options.Stray != nil {
+			client.options.Stray(c.server, request.ID, id)
+		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); !errors.Is(err, io.EOF) {
 			return nil, errors.WithStack(&StrayError{ID: id})
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -60,11 +60,18 @@
 // request may have run.
 type BrokenError struct {
 	Address string
-	Cause   error
+	// Reused says that the connection had carried requests before: the server may have
+	// closed it as idle at the same moment.
+	Reused bool
+	Cause  error
 }
 
 func (e *BrokenError) Error() string {
-	return "connection to " + e.Address + " broke: " + e.Cause.Error()
+	connection := "new"
+	if e.Reused {
+		connection = "kept"
+	}
+	return connection + " connection to " + e.Address + " broke: " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
@@ -78,6 +85,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Opened is called for each new connection; may be nil.
 	Opened func()
+	// Stray is told of each answer that was passed over as it names another request than
+	// the one that was sent; may be nil.
+	Stray func(server, sent, answered string)
 }
 
 // Client holds the connections to backend servers. It is safe for concurrent use.
@@ -193,6 +203,7 @@
 		one.close()
 		return
 	}
+	one.reused = true
 	one.expires = time.Now().Add(keepAlive)
 	c.idle[one.server] = append(c.idle[one.server], one)
 }
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,96 @@
+package upstream_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/upstream"
+)
+
+// listen serves one connection after the other: serve gets each request with its number.
+func listen(t *testing.T, serve func(n int, request *http.Request, conn net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		n := 0
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			reader := bufio.NewReader(conn)
+			for {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					break
+				}
+				n++
+				serve(n, request, conn)
+			}
+			conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answer(conn net.Conn, id string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 1\r\n\r\nx", id)
+}
+
+func request(id string) *upstream.Request {
+	return &upstream.Request{ID: id, Method: http.MethodGet, Target: "/", Host: "a"}
+}
+
+// An answer that nobody asked for is passed over, and must not pass unnoticed.
+func TestStrayAnswerIsTold(t *testing.T) {
+	c := qt.New(t)
+	address := listen(t, func(_ int, r *http.Request, conn net.Conn) {
+		answer(conn, "other")
+		answer(conn, "mine")
+	})
+	var told []string
+	client := upstream.New(upstream.Options{
+		IDOf:  func(h http.Header) string { return h.Get("Id") },
+		Stray: func(server, sent, answered string) { told = append(told, server, sent, answered) },
+	})
+	defer client.CloseIdle()
+	got, err := client.Do(t.Context(), "server-1", address, request("mine"))
+	c.Assert(err, qt.IsNil)
+	got.Close(0)
+	c.Assert(told, qt.DeepEquals, []string{"server-1", "mine", "other"})
+}
+
+// A break of a connection that was kept may be the server's close of an idle one, that
+// of a new one is not.
+func TestBreakTellsKeptFromNewConnections(t *testing.T) {
+	c := qt.New(t)
+	address := listen(t, func(n int, r *http.Request, conn net.Conn) {
+		if n != 1 {
+			conn.Close()
+			return
+		}
+		answer(conn, "a")
+	})
+	client := upstream.New(upstream.Options{})
+	defer client.CloseIdle()
+	first, err := client.Do(t.Context(), "server-1", address, request("a"))
+	c.Assert(err, qt.IsNil)
+	var body [8]byte
+	for err == nil {
+		_, err = first.Read(body[:])
+	}
+	first.Close(0)
+	for _, reused := range []bool{true, false} {
+		_, err := client.Do(t.Context(), "server-1", address, request("a"))
+		var broken *upstream.BrokenError
+		c.Assert(errors.As(err, &broken), qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(broken.Reused, qt.Equals, reused)
+	}
+}
