--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -167,7 +167,7 @@
 	stall := w.line("stall")
 	w.c.Assert(stall["outcome"], qt.Equals, "given up")
 	w.c.Assert(stall["events"], qt.Equals, 2.0)
-	w.c.Assert(stall["gap_limit_ms"], qt.Equals, 500.0)
+	w.c.Assert(stall["limit_ms"], qt.Equals, 500.0)
 	w.c.Assert(stall["pause_ms"].(float64) >= 499, qt.IsTrue, qt.Commentf("%v", stall["pause_ms"]))
 	w.c.Assert(stall["backend_server"], qt.Not(qt.Equals), line["backend_server"], qt.Commentf("the last send went to the other server"))
 }
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -43,8 +43,8 @@
 type stallWatch struct {
 	timer  *time.Timer
 	cancel context.CancelCauseFunc
-	// gap is how long a pause between two events may be.
-	gap time.Duration
+	// first is how long the first event may take, gap how long a pause between two.
+	first, gap time.Duration
 	// heard is when the last event came (Unix nanoseconds), or when the request was sent;
 	// events counts them.
 	heard, events atomic.Int64
@@ -57,10 +57,10 @@
 		return ctx, &stallWatch{}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &stallWatch{cancel: cancel, gap: max(minStallGap, stallGaps*one.route.MaxEventGap)}
+	w := &stallWatch{cancel: cancel, first: g.firstStall(one), gap: max(minStallGap, stallGaps*one.route.MaxEventGap)}
 	w.heard.Store(time.Now().UnixNano())
 	server := p.server
-	w.timer = time.AfterFunc(g.firstStall(one), func() {
+	w.timer = time.AfterFunc(w.first, func() {
 		leaves := g.mayLeaveStalled(one, p)
 		g.logStall(one, w, server, leaves)
 		if leaves {
@@ -93,12 +93,15 @@
 // logStall writes a line for a pause that was too long. Whether another backend server
 // took the request is told by the lines that follow: "repeat", or no_retry of "request".
 func (g *Gateway) logStall(one *call, w *stallWatch, server string, leaves bool) {
-	outcome := "waits on"
+	outcome, limit, events := "waits on", w.gap, w.events.Load()
 	if leaves {
 		outcome = "given up"
 	}
-	g.logger.Info().Str("request_id", one.info.ID).Str("backend_server", server).Int64("events", w.events.Load()).
-		Dur("pause_ms", time.Since(time.Unix(0, w.heard.Load()))).Dur("gap_limit_ms", w.gap).
+	if events == 0 {
+		limit = w.first
+	}
+	g.logger.Info().Str("request_id", one.info.ID).Str("backend_server", server).Int64("events", events).
+		Dur("pause_ms", time.Since(time.Unix(0, w.heard.Load()))).Dur("limit_ms", limit).
 		Dur("time_left_ms", steady.Until(one.deadline)).Int("ready", len(g.options.Directory.Ready(one.service, time.Now()))).
 		Str("outcome", outcome).Msg("stall")
 }
