--- a/bench/deploy/process.go
+++ b/bench/deploy/process.go
@@ -218,6 +218,9 @@
 // Terminate asks the process to shut down gracefully; Wait tells how it ended.
 func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
 
+// Reload asks the process to read its settings again.
+func (p *Process) Reload() error { return p.signal(syscall.SIGHUP) }
+
 // Wait waits for the end of the process and returns its exit code, -1 for a signal.
 func (p *Process) Wait(ctx context.Context) (int, error) {
 	select {
