Keep hold of signals from the start of main to the exit

Cause: watchSettings gave SIGHUP back to the runtime as soon as SIGTERM had come. Its default action ends the process, so a SIGHUP during the graceful stop dropped all running requests. The same held from the start of main to the end of the start-up.

Change: one signalHandler takes SIGHUP, SIGTERM and SIGINT first thing in main and never gives them back. What comes before the role is ready is acted on then; what comes during the stop is logged and ignored. One log line for each signal says what was done on it.

Between exec and main the default action still holds, some milliseconds in which the process listens nowhere.

--- a/bench/deploy/process.go
+++ b/bench/deploy/process.go
@@ -70,13 +70,17 @@
 
 // start runs the program and waits until it answers.
 func (p *Process) start(ctx context.Context) error {
-	if err := p.launch(); err != nil {
+	if err := p.Launch(); err != nil {
 		return err
 	}
-	return p.waitHTTP(ctx, p.health)
+	return p.WaitServing(ctx)
 }
 
-func (p *Process) launch() error {
+// WaitServing waits until a process that was launched answers.
+func (p *Process) WaitServing(ctx context.Context) error { return p.waitHTTP(ctx, p.health) }
+
+// Launch runs the program and doesn't wait for it.
+func (p *Process) Launch() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	logFile, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -221,6 +225,9 @@
 // Reload asks the process to read its settings again.
 func (p *Process) Reload() error { return p.signal(syscall.SIGHUP) }
 
+// Interrupt asks the process to shut down as a terminal does.
+func (p *Process) Interrupt() error { return p.signal(syscall.SIGINT) }
+
 // Wait waits for the end of the process and returns its exit code, -1 for a signal.
 func (p *Process) Wait(ctx context.Context) (int, error) {
 	select {
--- a/cmd/lagoonlane/main.go
+++ b/cmd/lagoonlane/main.go
@@ -9,8 +9,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -29,14 +27,13 @@
 const envPrefix = "LAGOONLANE"
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+	ctx, signals := takeSignals()
+	os.Exit(run(ctx, signals, os.Args[1:], os.Stdout, os.Stderr))
 }
 
 // run parses the command line, runs the command and returns the exit code.
-func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	root := newRootCommand(stdout, stderr)
+func run(ctx context.Context, signals *signalHandler, args []string, stdout, stderr io.Writer) int {
+	root := newRootCommand(signals, stdout, stderr)
 	if err := root.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return exitOK
@@ -66,7 +63,7 @@
 	return errors.As(err, &node) || errors.As(err, &file) || errors.As(err, &syntax) || errors.As(err, &key) || errors.As(err, &value)
 }
 
-func newRootCommand(stdout, stderr io.Writer) *ffcli.Command {
+func newRootCommand(signals *signalHandler, stdout, stderr io.Writer) *ffcli.Command {
 	root := flag.NewFlagSet("lagoonlane", flag.ContinueOnError)
 	root.SetOutput(stderr)
 	return &ffcli.Command{
@@ -76,8 +73,8 @@
 		Subcommands: []*ffcli.Command{
 			newRoleCommand("entry", "serve callers and operators", stdout, stderr, checkEntry, runEntry),
 			newRoleCommand("sidecar", "stand beside backend servers", stdout, stderr, checkSidecar, runSidecar),
-			newPlatformCommand("platform-entry", "serve callers on the users' platform", stdout, stderr, runPlatformEntry),
-			newPlatformCommand("platform-sidecar", "hand out an engine's slots on the users' platform", stdout, stderr, runPlatformSidecar),
+			newPlatformCommand("platform-entry", "serve callers on the users' platform", signals, stdout, stderr, runPlatformEntry),
+			newPlatformCommand("platform-sidecar", "hand out an engine's slots on the users' platform", signals, stdout, stderr, runPlatformSidecar),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
@@ -110,9 +107,12 @@
 	}
 }
 
+// platformFunc serves a role on the users' platform.
+type platformFunc func(ctx context.Context, signals *signalHandler, metricsPort int) error
+
 // newPlatformCommand returns the command of a role on the users' platform, which
 // names the settings file by an environment variable.
-func newPlatformCommand(name, help string, stdout, stderr io.Writer, serve func(ctx context.Context, metricsPort int) error) *ffcli.Command {
+func newPlatformCommand(name, help string, signals *signalHandler, stdout, stderr io.Writer, serve platformFunc) *ffcli.Command {
 	flags := flag.NewFlagSet("lagoonlane "+name, flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	metricsPort := flags.Int("metrics-port", 0, "port of the metrics page; 0: the second internal port")
@@ -124,7 +124,7 @@
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
 			if !*onlyCheck {
-				return serve(ctx, *metricsPort)
+				return serve(ctx, signals, *metricsPort)
 			}
 			if _, err := platform.LoadSettings(); err != nil {
 				return err
--- a/cmd/lagoonlane/main_test.go
+++ b/cmd/lagoonlane/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"os"
 	"path/filepath"
 	"testing"
@@ -14,9 +13,10 @@
 	for _, role := range []string{"entry", "sidecar"} {
 		t.Run(role, func(t *testing.T) {
 			c := qt.New(t)
+			ctx, signals := newSignals()
 			var stdout, stderr bytes.Buffer
 			path := filepath.Join("..", "..", "examples", role+".toml")
-			code := run(context.Background(), []string{role, "--config", path, "--check"}, &stdout, &stderr)
+			code := run(ctx, signals, []string{role, "--config", path, "--check"}, &stdout, &stderr)
 			c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", stderr.String()))
 			c.Assert(stdout.String(), qt.Contains, "settings are good")
 		})
@@ -35,8 +35,9 @@
 		"unknown role":  {"clerk"},
 	} {
 		c.Run(name, func(c *qt.C) {
+			ctx, signals := newSignals()
 			var stdout, stderr bytes.Buffer
-			code := run(context.Background(), args, &stdout, &stderr)
+			code := run(ctx, signals, args, &stdout, &stderr)
 			c.Assert(code, qt.Equals, exitSettings, qt.Commentf("%s", stderr.String()))
 			c.Assert(stderr.String(), qt.Not(qt.Equals), "")
 		})
--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -7,10 +7,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -130,7 +128,7 @@
 		group.Go(func() error { return untilDone(groupCtx, run) })
 	}
 	n.logger.Info().Str("internal", n.settings.Internal).Str("front", n.settings.Front).Str("outcome", "started").Msg("process")
-	n.watchSettings(ctx)
+	<-ctx.Done()
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.ShutdownGrace-exitMargin)
 	defer cancel()
 	n.logger.Info().Str("outcome", "stopping").Msg("process")
@@ -155,32 +153,20 @@
 	return nil
 }
 
-// watchSettings reads the settings file again on SIGHUP, until ctx is done. What a
-// process is bound to (addresses, store) holds until its next start.
-func (n *node) watchSettings(ctx context.Context) {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-reload:
-			if _, err := platform.LoadSettings(); err != nil {
-				n.logger.Error().Err(err).Str("outcome", "settings kept").Msg("reload")
-				continue
-			}
-			n.logger.Info().Str("outcome", "settings read").Msg("reload")
-		}
-	}
+// reloadPlatformSettings reads and checks the settings file again. What a process is
+// bound to (addresses, store) holds until its next start.
+func reloadPlatformSettings() error {
+	_, err := platform.LoadSettings()
+	return err
 }
 
 // runPlatformSidecar hands out the slots of the engine on the same machine.
-func runPlatformSidecar(ctx context.Context, metricsPort int) error {
+func runPlatformSidecar(ctx context.Context, signals *signalHandler, metricsPort int) error {
 	n, err := newNode("sidecar", metricsPort)
 	if err != nil {
 		return err
 	}
+	signals.attach(n.logger, reloadPlatformSettings)
 	server := slots.NewServer(slots.ServerOptions{
 		Queue:  admission.NewSlotQueue(admission.SlotOptions{}),
 		Probe:  platform.NewEngineProbe(n.settings.Engine),
@@ -249,11 +235,12 @@
 }
 
 // runPlatformEntry serves the platform's callers.
-func runPlatformEntry(ctx context.Context, metricsPort int) error {
+func runPlatformEntry(ctx context.Context, signals *signalHandler, metricsPort int) error {
 	e, err := newEntryNode(metricsPort)
 	if err != nil {
 		return err
 	}
+	signals.attach(e.logger, reloadPlatformSettings)
 	e.roster.Register(e.internal)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
