Move the look at a quiet connection into its own package

Connections of callers need the same look at what the kernel holds of a connection, and a look at the accept queue of a listener.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,11 +10,11 @@
 	"sort"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
+
+	"github.com/lagoonlane/lagoonlane/internal/netpeek"
 )
 
 const (
@@ -53,21 +53,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = control.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
-	})
-	return err == nil && quiet
+	state := netpeek.Look(c.Conn)
+	return state == netpeek.Quiet || state == netpeek.Unknown
 }
 
 // exchange sends a request and reads the head of its answer.
