Answer every request that has arrived when an entry stops

Callers saw: the connection closes without an answer although the entry had their whole request, when it crossed the entry's stop or an idle timeout.

Cause: http.Server.Shutdown closes connections from outside by a state that net/http sets only after it has parsed a request, and net/http drops every request that it reads after Shutdown has begun ("if c.server.shuttingDown() return" after readRequest in Go 1.26.8). So four kinds of requests were lost: read but not parsed, waiting in the kernel, the first one of a new connection, and those in the accept queue.

Change: internal/callerconn ends connections in the goroutine that reads them, where it waits for a request, and only if nothing of one was read or waits in the kernel; the accept queue is emptied first. The package comment says what holds.

Evidence: the tests of the package, with Serve and Shutdown replaced by those of http.Server (go test -count 1 ./internal/callerconn), fail in TestRequestReadBeforeTheStopIsAnswered, TestRequestInTheKernelIsAnswered, TestRequestAtTheIdleTimeoutIsAnswered, TestNewConnectionIsServedDuringTheStop, TestQueuedConnectionIsServed and TestUnfinishedRequestsAreCounted. With the change: go test -race -count 5 ./internal/callerconn passes.

--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/callerconn"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/gateway"
 	"github.com/lagoonlane/lagoonlane/internal/lateness"
@@ -68,7 +69,13 @@
 	metrics  *telemetry.Metrics
 	internal *http.ServeMux
 	// servers are closed when the process ends.
-	servers []*http.Server
+	servers []listenServer
+}
+
+// listenServer is what a process needs of a server of one address.
+type listenServer interface {
+	Serve(net.Listener) error
+	Close() error
 }
 
 func newNode(role string, metricsPort int) (*node, error) {
@@ -99,7 +106,7 @@
 }
 
 // listen serves a handler on an address until the node ends.
-func (n *node) listen(group *errgroup.Group, server *http.Server, address string) error {
+func (n *node) listen(group *errgroup.Group, server listenServer, address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.WithStack(&ListenError{Address: address, Cause: err})
@@ -207,7 +214,7 @@
 	gateway       *gateway.Gateway
 	lateness      *lateness.Meter
 	upstream      *upstream.Client
-	public        *http.Server
+	public        *callerconn.Server
 }
 
 func newEntryNode(metricsPort int) (*entryNode, error) {
@@ -264,9 +271,9 @@
 	if err := e.listen(group, &http.Server{Handler: e.readiness(), ReadHeaderTimeout: callerHeaderTimeout}, e.settings.Ready); err != nil {
 		return err
 	}
-	e.public = &http.Server{
+	e.public = callerconn.NewServer(&http.Server{
 		Handler: e.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-	}
+	})
 	if err := e.listen(group, e.public, e.settings.Front); err != nil {
 		return err
 	}
