--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -117,6 +117,9 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite lets net/http send what is left before it closes the connection.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
