--- a/cmd/lagoonlane/lifecyclelog.go
+++ b/cmd/lagoonlane/lifecyclelog.go
@@ -94,9 +94,9 @@
 }
 
 // watched is prepared for the server of the front address, whose connections are counted.
-func (l *lifecycleLog) watched(server *http.Server) *http.Server {
+func (l *lifecycleLog) watched(server *http.Server) {
 	l.connections.Observe(server)
-	return l.prepared(server, "front")
+	l.prepared(server, "front")
 }
 
 // listener returns what the server of an address is served on.
--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -6,10 +6,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/callerconn"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/gateway"
 	"github.com/lagoonlane/lagoonlane/internal/lateness"
@@ -67,10 +66,16 @@
 	metrics  *telemetry.Metrics
 	internal *http.ServeMux
 	// servers are closed when the process ends.
-	servers []*http.Server
+	servers []listenServer
 	*lifecycleLog
 }
 
+// listenServer is what a process needs of a server of one address.
+type listenServer interface {
+	Serve(net.Listener) error
+	Close() error
+}
+
 func newNode(role string, metricsPort int) (*node, error) {
 	settings, err := platform.LoadSettings()
 	if err != nil {
@@ -103,7 +108,7 @@
 }
 
 // listen serves a handler on an address until the node ends.
-func (n *node) listen(group *errgroup.Group, server *http.Server, address string) error {
+func (n *node) listen(group *errgroup.Group, server listenServer, address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.WithStack(&ListenError{Address: address, Cause: err})
@@ -142,7 +147,7 @@
 		})
 	}
 	n.started()
-	n.watchSettings(ctx)
+	<-ctx.Done()
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.ShutdownGrace-exitMargin)
 	defer cancel()
 	n.stopping(ctx)
@@ -168,32 +173,13 @@
 	return nil
 }
 
-// watchSettings reads the settings file again on SIGHUP, until ctx is done. What a
-// process is bound to (addresses, store) holds until its next start.
-func (n *node) watchSettings(ctx context.Context) {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-reload:
-			if err := n.reload(); err != nil {
-				n.logger.Error().Err(err).Str("outcome", "settings kept").Msg("reload")
-				continue
-			}
-			n.logger.Info().Str("outcome", "settings read").Msg("reload")
-		}
-	}
-}
-
 // runPlatformSidecar hands out the slots of the engine on the same machine.
-func runPlatformSidecar(ctx context.Context, metricsPort int) error {
+func runPlatformSidecar(ctx context.Context, signals *signalHandler, metricsPort int) error {
 	n, err := newNode("sidecar", metricsPort)
 	if err != nil {
 		return err
 	}
+	signals.attach(n.logger, n.reload)
 	server := slots.NewServer(slots.ServerOptions{
 		Queue:   admission.NewSlotQueue(admission.SlotOptions{}),
 		Probe:   platform.NewEngineProbe(n.settings.Engine),
@@ -221,7 +207,7 @@
 	gateway       *gateway.Gateway
 	lateness      *lateness.Meter
 	upstream      *upstream.Client
-	public        *http.Server
+	public        *callerconn.Server
 }
 
 func newEntryNode(metricsPort int) (*entryNode, error) {
@@ -270,11 +256,12 @@
 }
 
 // runPlatformEntry serves the platform's callers.
-func runPlatformEntry(ctx context.Context, metricsPort int) error {
+func runPlatformEntry(ctx context.Context, signals *signalHandler, metricsPort int) error {
 	e, err := newEntryNode(metricsPort)
 	if err != nil {
 		return err
 	}
+	signals.attach(e.logger, e.reload)
 	e.roster.Register(e.internal)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -286,9 +273,11 @@
 	if err := e.listen(group, ready, e.settings.Ready); err != nil {
 		return err
 	}
-	e.public = e.watched(&http.Server{
+	front := &http.Server{
 		Handler: e.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-	})
+	}
+	e.public = callerconn.NewServer(front)
+	e.watched(front)
 	if err := e.listen(group, e.public, e.settings.Front); err != nil {
 		return err
 	}
