Name the signal that stops a process, and look at connections in one way

Since signals are held from main to exit, the cause on the line "stopping" was "context canceled"; the context now ends with a SignalError. The watch of connections had its own look at what the kernel holds; it uses netpeek.

Checked: go test -race ./internal/transport ./internal/callerconn ./cmd/lagoonlane: passed.

--- a/cmd/lagoonlane/signals.go
+++ b/cmd/lagoonlane/signals.go
@@ -26,7 +26,7 @@
 // never given back to the runtime. SIGHUP reads the settings again; the first SIGTERM or
 // SIGINT begins a graceful stop; whatever comes after that is logged and ignored.
 type signalHandler struct {
-	stop context.CancelFunc
+	stop context.CancelCauseFunc
 
 	mu sync.Mutex
 	// early are signals that came before attach, each once.
@@ -39,10 +39,15 @@
 // newSignals returns a handler that no signal reaches by itself, and a context that ends with the
 // first SIGTERM or SIGINT.
 func newSignals() (context.Context, *signalHandler) {
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, stop := context.WithCancelCause(context.Background())
 	return ctx, &signalHandler{stop: stop}
 }
 
+// SignalError is the cause with which a signal ends the process's context.
+type SignalError struct{ Name string }
+
+func (e *SignalError) Error() string { return e.Name }
+
 // takeSignals returns the handler of all signals of the process, and a context as newSignals does.
 func takeSignals() (context.Context, *signalHandler) {
 	ctx, s := newSignals()
@@ -74,7 +79,7 @@
 func (s *signalHandler) handle(received os.Signal) {
 	if received != syscall.SIGHUP {
 		// First of all, so that a log that blocks can't hold up the stop.
-		s.stop()
+		s.stop(&SignalError{Name: handledSignals[received]})
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/cmd/lagoonlane/signals_test.go
+++ b/cmd/lagoonlane/signals_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
 	"os"
 	"syscall"
 	"testing"
@@ -63,6 +65,8 @@
 			}
 			c.Assert(outcomes(c, &log), qt.DeepEquals, test.want)
 			c.Assert(ctx.Err() != nil, qt.Equals, test.stops)
+			var cause *SignalError
+			c.Assert(errors.As(context.Cause(ctx), &cause), qt.Equals, test.stops)
 		})
 	}
 }
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -14,7 +14,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
-	"golang.org/x/sys/unix"
+
+	"github.com/lagoonlane/lagoonlane/internal/netpeek"
 )
 
 // ClosedIdleError is the cause with which a request ends that came over a connection
@@ -166,9 +167,8 @@
 	// received counts the bytes since the connection was last idle.
 	received atomic.Int64
 	// closedIdle says that this process closed the connection in an idle state, unread
-	// how many bytes the kernel held then.
-	closedIdle atomic.Bool
-	unread     atomic.Int64
+	// that the kernel held bytes then.
+	closedIdle, unread atomic.Bool
 }
 
 // findWatched returns the watched connection below a server's connection, or nil.
@@ -200,7 +200,7 @@
 // Close implements net.Conn.
 func (w *watchedConn) Close() error {
 	if w.ended.CompareAndSwap(int32(endOpen), int32(endOwn)) && w.idle() {
-		w.unread.Store(int64(unreadBytes(w.Conn)))
+		w.unread.Store(netpeek.Look(w.Conn) == netpeek.Waiting)
 		w.closedIdle.Store(true)
 		if w.cancel != nil {
 			// The server may be about to hand a request over to its handler.
@@ -263,7 +263,7 @@
 		return
 	}
 	c := w.connections
-	arriving := w.received.Load() > 0 || w.unread.Load() > 0
+	arriving := w.received.Load() > 0 || w.unread.Load()
 	reason := "timeout"
 	if c.stopping.Load() {
 		reason = "stop"
@@ -275,26 +275,5 @@
 	}
 	c.closedArriving.Add(1)
 	c.logger.Warn().Str("peer", w.RemoteAddr().String()).Str("reason", reason).Int64("received", w.received.Load()).
-		Int64("unread", w.unread.Load()).Bool("read_whole", last == http.StateActive).Str("outcome", "closed with a request arriving").Msg("connection")
-}
-
-// unreadBytes returns how many bytes have come that nobody has read, up to a few.
-func unreadBytes(conn net.Conn) int {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	var some [64]byte
-	n := 0
-	if err := control.Control(func(fd uintptr) {
-		// An error means that there is nothing to read.
-		n, _, _ = unix.Recvfrom(int(fd), some[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	}); err != nil {
-		return 0
-	}
-	return max(n, 0)
+		Bool("unread", w.unread.Load()).Bool("read_whole", last == http.StateActive).Str("outcome", "closed with a request arriving").Msg("connection")
 }
