Show requests that reach no handler, and those whose handling panics

net/http answers what is no request by itself, drops what it reads after a stop began, and closes heads that don't come in time: none of these had a line. A panic left a request without its line. The watch of connections knows whether the request that came last reached the handler; a panic ends the request as cut_by "crashed". "stopped" carries the failure of a part of the process.

Checked: go test -race -count=20 ./internal/transport, go test -race ./internal/gateway ./internal/callerconn ./cmd/lagoonlane.

--- a/cmd/lagoonlane/lifecyclelog.go
+++ b/cmd/lagoonlane/lifecyclelog.go
@@ -134,7 +134,8 @@
 func (l *lifecycleLog) cutRunning() { l.end(&transport.StoppedError{}) }
 
 // stopped writes the last line of a process, after those of the requests that it cut.
-func (l *lifecycleLog) stopped() {
+// Err is the failure of a part of it, or nil.
+func (l *lifecycleLog) stopped(err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleWithin)
 	defer cancel()
 	l.requests.Settle(ctx)
@@ -142,7 +143,7 @@
 	connections := l.connections.Counts()
 	l.state().Dur("took_ms", time.Since(l.stopBegan)).Int("requests_cut", cut).Strs("request_ids", named).
 		Int64("closed_idle", connections.ClosedIdle).Int64("closed_arriving", connections.ClosedArriving).
-		Str("outcome", "stopped").Msg("process")
+		Err(err).Str("outcome", "stopped").Msg("process")
 }
 
 // readinessTold notes what the balancer is told: why the process isn't ready, or "".
--- a/cmd/lagoonlane/lifecyclelog_test.go
+++ b/cmd/lagoonlane/lifecyclelog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -17,6 +18,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/lagoonlane/lagoonlane/platform"
 	"github.com/lagoonlane/lagoonlane/platform/standin"
@@ -168,6 +171,22 @@
 	w.c.Assert(stopped["running"], qt.Equals, 0.0)
 }
 
+// A panic in a handler is a line of the log, not text on standard error.
+func TestPanicOfAHandlerIsALine(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	life, err := newLifecycleLog(zerolog.New(&out), noop.Meter{}, platform.Settings{})
+	c.Assert(err, qt.IsNil)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("a fault") }))
+	life.prepared(server.Config, "front")
+	server.Start()
+	_, err = http.Get(server.URL)
+	c.Assert(err, qt.IsNotNil)
+	server.Close()
+	c.Assert(out.String(), qt.Contains, `"server":"front"`)
+	c.Assert(out.String(), qt.Contains, "a fault")
+}
+
 // awaitReady waits until the balancer would use the entry.
 func (w *told) awaitReady() {
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -160,7 +160,7 @@
 	}
 	stop()
 	err := group.Wait()
-	n.stopped()
+	n.stopped(err)
 	return errors.WithMessage(firstError(err, n.logs.Close()), "platform role")
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -47,6 +47,8 @@
 	service     string
 	engine      *fleet.Engine
 	account     *fleet.Account
+	// concluded says that the call has its line.
+	concluded bool
 }
 
 // rank returns the tier of the request among all: the account's rank takes precedence
--- a/internal/gateway/cut.go
+++ b/internal/gateway/cut.go
@@ -35,8 +35,22 @@
 	CutBadAnswer Cut = "bad-answer"
 	// CutDeadline: there was no whole answer at the deadline.
 	CutDeadline Cut = "deadline"
+	// CutCrashed: handling the request panicked in this process.
+	CutCrashed Cut = "crashed"
 )
 
+// crashed writes the line of a call that has none as its handling panics. The panic
+// itself goes to the log of the server.
+func (g *Gateway) crashed(one *call) {
+	if one.concluded {
+		return
+	}
+	failure := &Failure{Kind: KindFailed, Status: http.StatusBadGateway, Detail: "the handler panicked", Cut: CutCrashed}
+	took := steady.Since(one.arrived)
+	g.metrics.concluded(one, &progress{}, failure, took)
+	g.log(one, &progress{}, failure, took)
+}
+
 // cutOff returns the failure of a request whose connection to the caller is ended. Who
 // did that is the cause of ctx.
 func cutOff(ctx context.Context) *Failure {
--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -234,6 +236,24 @@
 	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"deadline": "1"})
 }
 
+// A panic must not leave a request without a line.
+func TestCutByACrash(t *testing.T) {
+	w := newWorld(t, whole(200, "x"))
+	w.front.Config.ErrorLog = log.New(io.Discard, "", 0)
+	request, err := http.NewRequest(http.MethodPost, w.front.URL+"/unsafe/x", strings.NewReader("p"))
+	w.c.Assert(err, qt.IsNil)
+	for name, value := range map[string]string{"Id": "crash", "Key": "key", "Crash": "1"} {
+		request.Header.Set(name, value)
+	}
+	_, err = http.DefaultClient.Do(request)
+	w.c.Assert(err, qt.IsNotNil)
+	line := w.line("request")
+	w.c.Assert(line["request_id"], qt.Equals, "crash")
+	w.c.Assert(line["cut_by"], qt.Equals, string(gateway.CutCrashed))
+	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"crashed": "1"})
+	w.requests.Settle(t.Context())
+}
+
 // A whole answer and a true refusal are no cuts.
 func TestAnswersAndRefusalsAreNotCut(t *testing.T) {
 	w := newWorld(t, whole(200, "x"))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	one, failure := g.accept(w, r)
+	defer g.crashed(one)
 	if failure == nil {
 		failure = g.mayFinish(one)
 	}
@@ -189,6 +190,7 @@
 
 // conclude writes the final answer, if the caller has none yet, and the log line.
 func (g *Gateway) conclude(w http.ResponseWriter, r *http.Request, one *call, p *progress, failure *Failure) {
+	one.concluded = true
 	took := steady.Since(one.arrived)
 	g.metrics.concluded(one, p, failure, took)
 	g.log(one, p, failure, took)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -39,6 +39,9 @@
 }
 
 func (codec) EncodeDispatch(caller http.Header, d gateway.Dispatch) http.Header {
+	if caller.Get("Crash") != "" {
+		panic("the codec crashes")
+	}
 	h := http.Header{}
 	h.Set("Id", caller.Get("Id"))
 	h.Set("Remaining", strconv.FormatInt(d.Remaining.Milliseconds(), 10))
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -83,7 +83,7 @@
 }
 
 // Observe makes a server tell of its connections, beside the hooks that it has. The
-// server must be served on what Listener returns.
+// server must have its handler, and be served on what Listener returns.
 func (c *Connections) Observe(server *http.Server) {
 	nextState, nextContext := server.ConnState, server.ConnContext
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -100,11 +100,22 @@
 		}
 		if watched := findWatched(conn); watched != nil {
 			ctx, watched.cancel = context.WithCancelCause(ctx)
+			ctx = context.WithValue(ctx, watchedKey{}, watched)
 		}
 		return ctx
 	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if watched, ok := r.Context().Value(watchedKey{}).(*watchedConn); ok {
+			watched.handled.Store(true)
+		}
+		handler.ServeHTTP(w, r)
+	})
 }
 
+// watchedKey is the key of a request's connection in its context.
+type watchedKey struct{}
+
 // Listener returns a listener whose connections are watched.
 func (c *Connections) Listener(inner net.Listener) net.Listener {
 	return &watchedListener{Listener: inner, connections: c}
@@ -166,6 +177,10 @@
 	ended atomic.Int32
 	// received counts the bytes since the connection was last idle.
 	received atomic.Int64
+	// timedOut says that the last read ended at a deadline.
+	timedOut atomic.Bool
+	// handled says that the request that came last has reached the handler.
+	handled atomic.Bool
 	// closedIdle says that this process closed the connection in an idle state, unread
 	// that the kernel held bytes then.
 	closedIdle, unread atomic.Bool
@@ -191,7 +206,9 @@
 	n, err := w.Conn.Read(p)
 	w.received.Add(int64(n))
 	// A deadline is one of this process's own.
-	if err != nil && w.idle() && !errors.Is(err, os.ErrDeadlineExceeded) {
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	w.timedOut.Store(timedOut)
+	if err != nil && w.idle() && !timedOut {
 		w.ended.CompareAndSwap(int32(endOpen), int32(endPeer))
 	}
 	return n, err
@@ -244,6 +261,7 @@
 		c.open.Add(1)
 	case http.StateActive:
 		c.active.Add(1)
+		w.handled.Store(false)
 	case http.StateIdle:
 		w.received.Store(0)
 		if end(w.ended.Load()) == endOwn {
@@ -256,17 +274,22 @@
 	}
 }
 
-// conclude counts a connection that this process closed while it was idle. One that
-// became active after it was closed had a request that the server read too late.
+// conclude counts a connection that this process closed while it was idle, or with a
+// request that reached no handler: one that isn't well-formed or didn't come in time, or
+// one that the server read too late during a stop.
 func (w *watchedConn) conclude(last http.ConnState) {
-	if !w.closedIdle.Load() {
+	unhandled := last == http.StateActive && !w.handled.Load() && end(w.ended.Load()) == endOwn
+	if !unhandled && !w.closedIdle.Load() {
 		return
 	}
 	c := w.connections
-	arriving := w.received.Load() > 0 || w.unread.Load()
-	reason := "timeout"
-	if c.stopping.Load() {
+	arriving := unhandled || w.received.Load() > 0 || w.unread.Load()
+	reason := "refused"
+	switch {
+	case c.stopping.Load():
 		reason = "stop"
+	case w.timedOut.Load():
+		reason = "timeout"
 	}
 	c.closedIdle.Add(1)
 	c.closed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason), attribute.Bool("arriving", arriving)))
@@ -275,5 +298,5 @@
 	}
 	c.closedArriving.Add(1)
 	c.logger.Warn().Str("peer", w.RemoteAddr().String()).Str("reason", reason).Int64("received", w.received.Load()).
-		Bool("unread", w.unread.Load()).Bool("read_whole", last == http.StateActive).Str("outcome", "closed with a request arriving").Msg("connection")
+		Bool("unread", w.unread.Load()).Str("outcome", "closed with a request arriving").Msg("connection")
 }
--- a/internal/transport/connections_test.go
+++ b/internal/transport/connections_test.go
@@ -94,7 +94,13 @@
 	w.eventually("idle", func(n transport.ConnectionCounts) bool { return n.Open == 1 && n.Active == 0 })
 	conn.Close()
 	w.eventually("closed", func(n transport.ConnectionCounts) bool { return n.Open == 0 })
-	w.c.Assert(w.connections.Counts().ClosedIdle, qt.Equals, int64(0))
+	partial := w.dial()
+	fmt.Fprint(partial, "GET / HTTP/1.1\r\n")
+	w.eventually("open", func(n transport.ConnectionCounts) bool { return n.Open == 1 })
+	partial.Close()
+	w.eventually("closed", func(n transport.ConnectionCounts) bool { return n.Open == 0 })
+	w.c.Assert(w.connections.Counts(), qt.Equals, transport.ConnectionCounts{})
+	w.c.Assert(w.logs.Len(), qt.Equals, 0)
 }
 
 // Part of a request has come when the server closes the connection as idle: the caller
@@ -135,6 +141,21 @@
 	w.c.Assert(w.connections.Counts().ClosedArriving, qt.Equals, int64(0))
 }
 
+// What is no request reaches no handler: only this line tells of it.
+func TestMalformedRequestHasALine(t *testing.T) {
+	w := newWatched(t, time.Minute, func(http.ResponseWriter, *http.Request) {})
+	conn := w.dial()
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\nno header\r\n\r\n")
+	_, err := io.ReadAll(conn)
+	w.c.Assert(err, qt.IsNil)
+	w.eventually("closed", func(n transport.ConnectionCounts) bool { return n.Open == 0 && n.ClosedArriving == 1 })
+	w.eventually("line", func(transport.ConnectionCounts) bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return bytes.Contains(w.logs.Bytes(), []byte(`"reason":"refused"`))
+	})
+}
+
 // A connection that is closed under a running request isn't idle.
 func TestActiveConnectionIsNotClosedIdle(t *testing.T) {
 	running := make(chan context.Context)
