Reload settings on SIGHUP in our own roles too

lagoonlane entry and lagoonlane sidecar had no handler for SIGHUP: the signal of a log rotation or of a supervisor's reload ended them at any time, with all that they ran. They now read and check their settings file again and log the result, as the roles on the users' platform do.

TestReloadEndsNoRoleOfOurOwn (go test -race -count 1 -run NoRoleOfOurOwn ./bench/e2e), entry and sidecar under load, good and bad settings, SIGHUP in the graceful stop.

--- a/bench/e2e/signal_test.go
+++ b/bench/e2e/signal_test.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/lagoonlane/lagoonlane/bench/deploy"
 )
 
 // reloadPause is the time between two signals of a series.
@@ -80,3 +83,35 @@
 	s.stops(s.entry)
 	s.stops(s.sidecar)
 }
+
+// SIGHUP ended the roles of our own interface at any time.
+func TestReloadEndsNoRoleOfOurOwn(t *testing.T) {
+	for _, name := range []string{"entry-1", "sidecar-ledger-1"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			l := startLoad(s, loadCallers, true)
+			process := s.Process(name)
+			s.c.Assert(process.Reload(), qt.IsNil)
+			s.logs(process, `"outcome":"settings read"`)
+			settings := filepath.Join(s.Spec.Dir, name+".toml")
+			s.c.Assert(os.WriteFile(settings, []byte("[process]\nid = \"\"\n"), 0o600), qt.IsNil)
+			s.c.Assert(process.Reload(), qt.IsNil)
+			s.logs(process, `"outcome":"settings kept"`)
+			s.c.Assert(process.Terminate(), qt.IsNil)
+			s.c.Assert(process.Reload(), qt.IsNil)
+			code, err := process.Wait(t.Context())
+			s.c.Assert(err, qt.IsNil)
+			s.c.Assert(code, qt.Equals, 0)
+			l.end()
+		})
+	}
+}
+
+// logs waits until a process has logged a text.
+func (s *site) logs(p *deploy.Process, text string) {
+	s.eventually(p.Name+" logs "+text, func() bool {
+		log, err := p.LogText()
+		s.c.Assert(err, qt.IsNil)
+		return strings.Contains(log, text)
+	})
+}
--- a/cmd/lagoonlane/entry.go
+++ b/cmd/lagoonlane/entry.go
@@ -14,13 +14,13 @@
 	"github.com/lagoonlane/lagoonlane/internal/settings"
 )
 
-func checkEntry(_ context.Context, path string, _ io.Writer) error {
+func checkEntry(path string) error {
 	_, err := settings.LoadEntry(path)
 	return err
 }
 
 // runEntry runs an entry until ctx is done, then drains it.
-func runEntry(ctx context.Context, path string, logs io.Writer) error {
+func runEntry(ctx context.Context, signals *signalHandler, path string, logs io.Writer) error {
 	file, err := settings.LoadEntry(path)
 	if err != nil {
 		return err
@@ -29,6 +29,7 @@
 	if err != nil {
 		return err
 	}
+	signals.attach(p.logger, func() error { return checkEntry(path) })
 	shared := newSharedState(p, file.Platform)
 	defer shared.close()
 	claims := claim.New(claim.Options{
--- a/cmd/lagoonlane/main.go
+++ b/cmd/lagoonlane/main.go
@@ -71,8 +71,8 @@
 		ShortUsage: "lagoonlane <entry|sidecar> --config FILE [--check] | lagoonlane <platform-entry|platform-sidecar> [--check]",
 		FlagSet:    root,
 		Subcommands: []*ffcli.Command{
-			newRoleCommand("entry", "serve callers and operators", stdout, stderr, checkEntry, runEntry),
-			newRoleCommand("sidecar", "stand beside backend servers", stdout, stderr, checkSidecar, runSidecar),
+			newRoleCommand("entry", "serve callers and operators", signals, stdout, stderr, checkEntry, runEntry),
+			newRoleCommand("sidecar", "stand beside backend servers", signals, stdout, stderr, checkSidecar, runSidecar),
 			newPlatformCommand("platform-entry", "serve callers on the users' platform", signals, stdout, stderr, runPlatformEntry),
 			newPlatformCommand("platform-sidecar", "hand out an engine's slots on the users' platform", signals, stdout, stderr, runPlatformSidecar),
 		},
@@ -80,10 +80,13 @@
 	}
 }
 
-// roleFunc does something with the settings file of a role.
-type roleFunc func(ctx context.Context, path string, logs io.Writer) error
+// checkFunc checks the settings file of a role.
+type checkFunc func(path string) error
 
-func newRoleCommand(name, help string, stdout, stderr io.Writer, check, serve roleFunc) *ffcli.Command {
+// serveFunc serves a role with the settings file at path.
+type serveFunc func(ctx context.Context, signals *signalHandler, path string, logs io.Writer) error
+
+func newRoleCommand(name, help string, signals *signalHandler, stdout, stderr io.Writer, check checkFunc, serve serveFunc) *ffcli.Command {
 	flags := flag.NewFlagSet("lagoonlane "+name, flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("config", "", "settings file (TOML); required")
@@ -96,9 +99,9 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
 			if !*onlyCheck {
-				return serve(ctx, *path, stderr)
+				return serve(ctx, signals, *path, stderr)
 			}
-			if err := check(ctx, *path, stderr); err != nil {
+			if err := check(*path); err != nil {
 				return err
 			}
 			fmt.Fprintf(stdout, "%s: settings are good\n", *path)
--- a/cmd/lagoonlane/sidecar.go
+++ b/cmd/lagoonlane/sidecar.go
@@ -10,13 +10,13 @@
 	"github.com/lagoonlane/lagoonlane/internal/sidecar"
 )
 
-func checkSidecar(_ context.Context, path string, _ io.Writer) error {
+func checkSidecar(path string) error {
 	_, err := settings.LoadSidecar(path)
 	return err
 }
 
 // runSidecar runs a sidecar until ctx is done, then drains it.
-func runSidecar(ctx context.Context, path string, logs io.Writer) error {
+func runSidecar(ctx context.Context, signals *signalHandler, path string, logs io.Writer) error {
 	file, err := settings.LoadSidecar(path)
 	if err != nil {
 		return err
@@ -25,6 +25,7 @@
 	if err != nil {
 		return err
 	}
+	signals.attach(p.logger, func() error { return checkSidecar(path) })
 	shared := newSharedState(p, file.Platform)
 	defer shared.close()
 	side, err := sidecar.New(sidecar.Options{
