Survive the loss of the reader of the logs

When the collector behind standard output or standard error went away, the next log line ended the process with all its running requests: Go ends a process on SIGPIPE when the write was to one of these two. SIGPIPE is now ignored from the start of main; the write fails and the line is lost.

go test -count 1 -run LostReader ./bench/e2e, before: platform-entry ends by the signal (code -1), its answer breaks off after 1 of 200 events; an entry of our own interface never serves again. Now both serve on and stop with code 0 (go test -race -count 1 -run 'LostReader|Reload|SeriesOf' ./bench/e2e, 33.9 s).

--- a/bench/deploy/process.go
+++ b/bench/deploy/process.go
@@ -39,7 +39,9 @@
 	// env is added to the environment.
 	env     []string
 	logPath string
-	health  string
+	// logs take the place of the file at logPath if set.
+	logs   *os.File
+	health string
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -65,6 +67,9 @@
 	return &Process{Name: o.Name, program: o.Program, args: o.Args, env: o.Env, logPath: o.Log, health: o.Health}
 }
 
+// LogTo gives the output of later starts to a file of the caller.
+func (p *Process) LogTo(logs *os.File) { p.logs = logs }
+
 // Start runs the program and waits until it answers.
 func (p *Process) Start(ctx context.Context) error { return p.start(ctx) }
 
@@ -90,8 +95,10 @@
 	defer logFile.Close()
 	command := exec.Command(p.program, p.args...)
 	command.Env = append(os.Environ(), p.env...)
-	command.Stdout = logFile
-	command.Stderr = logFile
+	command.Stdout, command.Stderr = logFile, logFile
+	if p.logs != nil {
+		command.Stdout, command.Stderr = p.logs, p.logs
+	}
 	// A group of its own keeps an interrupt at the terminal from reaching it: its owner ends it.
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := command.Start(); err != nil {
--- a/bench/e2e/signal_test.go
+++ b/bench/e2e/signal_test.go
@@ -23,10 +23,7 @@
 	s.start(s.sidecar, s.entry)
 	running := s.open("running")
 	s.c.Assert(s.entry.Terminate(), qt.IsNil)
-	for range 3 {
-		time.Sleep(reloadPause)
-		s.c.Assert(s.entry.Reload(), qt.IsNil)
-	}
+	reloadAll(s.c, s.entry.Process)
 	s.whole(running)
 	s.stops(s.entry)
 }
@@ -44,10 +41,7 @@
 	s.c.Cleanup(func() { _ = s.entry.Kill() })
 	pipe := s.openPipe(s.entry.settings)
 	s.c.Assert(os.Rename(regular, s.entry.settings), qt.IsNil)
-	for range 3 {
-		s.c.Assert(s.entry.Reload(), qt.IsNil)
-		time.Sleep(reloadPause)
-	}
+	reloadAll(s.c, s.entry.Process)
 	_, err = pipe.Write(text)
 	s.c.Assert(err, qt.IsNil)
 	s.c.Assert(pipe.Close(), qt.IsNil)
@@ -115,3 +109,54 @@
 		return strings.Contains(log, text)
 	})
 }
+
+// A collector of logs that went away ended the process at its next log line, with all that it ran.
+func TestLostReaderOfLogsEndsNoProcess(t *testing.T) {
+	s := newPlatformSite(t)
+	s.start(s.sidecar)
+	dropReader := pipeLogs(s.c, s.entry.Process)
+	s.start(s.entry)
+	running := s.open("running")
+	dropReader()
+	reloadAll(s.c, s.entry.Process)
+	s.whole(running)
+	s.c.Assert(s.entry.Terminate(), qt.IsNil)
+	s.stops(s.entry)
+}
+
+// The same for the roles of our own interface, which log to standard error.
+func TestLostReaderOfLogsEndsNoRoleOfOurOwn(t *testing.T) {
+	s := newSite(t)
+	process := s.Process("entry-1")
+	s.c.Assert(process.Kill(), qt.IsNil)
+	dropReader := pipeLogs(s.c, process)
+	s.c.Assert(process.Restart(t.Context()), qt.IsNil)
+	s.c.Assert(process.WaitReady(t.Context()), qt.IsNil)
+	dropReader()
+	reloadAll(s.c, process)
+	s.waitServing()
+	s.c.Assert(process.Terminate(), qt.IsNil)
+	code, err := process.Wait(t.Context())
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(code, qt.Equals, 0)
+}
+
+// pipeLogs gives the output of a process that starts next to a pipe, and returns what
+// takes the reader of the pipe away.
+func pipeLogs(c *qt.C, p *deploy.Process) (dropReader func()) {
+	read, write, err := os.Pipe()
+	c.Assert(err, qt.IsNil)
+	p.LogTo(write)
+	return func() {
+		c.Assert(write.Close(), qt.IsNil)
+		c.Assert(read.Close(), qt.IsNil)
+	}
+}
+
+// reloadAll sends a series of SIGHUP. Each makes a process write a log line.
+func reloadAll(c *qt.C, p *deploy.Process) {
+	for range 3 {
+		c.Assert(p.Reload(), qt.IsNil)
+		time.Sleep(reloadPause)
+	}
+}
--- a/cmd/lagoonlane/signals.go
+++ b/cmd/lagoonlane/signals.go
@@ -50,6 +50,8 @@
 	for one := range handledSignals {
 		signal.Notify(received, one)
 	}
+	// A process without a reader of its log must not end at the next line: writes fail instead.
+	signal.Ignore(syscall.SIGPIPE)
 	// It ends with the process.
 	go func() {
 		for one := range received {
