End a platform role whose background work has failed

A role on the users' platform waited for SIGTERM only. When a listener or background work failed, the errgroup ended the rest of the background work (store, other entries, processor delay) and the process served on without it: with the configuration and the backend servers of that moment, and ready for the balancer.

--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -122,13 +122,17 @@
 	return n.listen(group, transport.NewInternalServer(page), n.settings.Metrics)
 }
 
-// run serves until ctx is done, then lets leave end what is running.
+// run serves until ctx is done or a part of the role fails, then lets leave end what is running.
 func (n *node) run(ctx context.Context, group *errgroup.Group, groupCtx context.Context, stop context.CancelFunc, work []runFunc, leave func(context.Context)) error {
 	for _, run := range work {
 		group.Go(func() error { return untilDone(groupCtx, run) })
 	}
 	n.logger.Info().Str("internal", n.settings.Internal).Str("front", n.settings.Front).Str("outcome", "started").Msg("process")
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+		n.logger.Error().Err(context.Cause(groupCtx)).Str("outcome", "failed").Msg("process")
+	}
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.ShutdownGrace-exitMargin)
 	defer cancel()
 	n.logger.Info().Str("outcome", "stopping").Msg("process")
