--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -135,7 +135,7 @@
 	return n.listen(group, n.prepared(transport.NewInternalServer(page), "metrics"), n.settings.Metrics)
 }
 
-// run serves until ctx is done, then lets leave end what is running.
+// run serves until ctx is done or a part of the role fails, then lets leave end what is running.
 func (n *node) run(ctx context.Context, group *errgroup.Group, groupCtx context.Context, stop context.CancelFunc, work []runFunc, leave func(context.Context)) error {
 	for _, run := range work {
 		group.Go(func() error {
@@ -147,10 +147,15 @@
 		})
 	}
 	n.started()
-	<-ctx.Done()
+	ended := ctx
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+		ended = groupCtx
+	}
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.ShutdownGrace-exitMargin)
 	defer cancel()
-	n.stopping(ctx)
+	n.stopping(ended)
 	leave(bounded)
 	n.cutRunning()
 	for _, server := range n.servers {
