Keep a stalled request where it is until another place is granted

Callers saw: 502 before the first event, or a stream that breaks off, although their engine was only slow or paused for a moment.

Cause: the stall watch ended the send after a pause and took a repeat from the budget, and only then was another place looked for. Under load there is none: the objective is over by then, so every sidecar refuses.

Change: the watch looks for a slot elsewhere while the send goes on. Only when one is granted is the send ended, and the request goes on there after its last event. If the backend server goes on first, the ticket is taken back. The budget is charged at the grant. A plain service without slots has a place at once, as before.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -57,17 +57,28 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
+	if !b.allows(w, entries) {
+		return false
+	}
+	w.repeats[w.slot%budgetSlots]++
+	return true
+}
+
+// left reports whether there is a repeat to take.
+func (b *retryBudget) left(service string, entries int, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(b.window(service, now), entries)
+}
+
+func (b *retryBudget) allows(w *retryWindow, entries int) bool {
 	requests, repeats := 0.0, 0.0
 	for i := range budgetSlots {
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
 	allowed := budgetPart * (b.bounds.Ratio*requests + b.bounds.Slack/float64(max(entries, 1)))
-	if repeats+1 > allowed {
-		return false
-	}
-	w.repeats[w.slot%budgetSlots]++
-	return true
+	return repeats+1 <= allowed
 }
 
 func (b *retryBudget) window(service string, now time.Time) *retryWindow {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -76,7 +76,7 @@
 	}
 	sent := time.Now()
 	ctx, stall := g.watchStall(ctx, one, p)
-	defer stall.stop()
+	defer func() { p.next = stall.stop() }()
 	answer, err := g.options.Upstream.Do(ctx, at.server.ID, at.server.Address, request)
 	var unsent *upstream.NotSentError
 	if errors.As(err, &unsent) {
--- /dev/null
+++ b/internal/gateway/pause_test.go
@@ -0,0 +1,334 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/gateway"
+	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/slots"
+	"github.com/lagoonlane/lagoonlane/internal/steady"
+	"github.com/lagoonlane/lagoonlane/internal/transport"
+	"github.com/lagoonlane/lagoonlane/internal/upstream"
+)
+
+const (
+	// engineSlots is the number of slots of each engine of an engineWorld.
+	engineSlots = 1
+	// longPause is longer than any request lasts.
+	longPause = time.Minute
+)
+
+// pipeListener joins clients and a server over net.Pipe.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial(ctx context.Context) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// engine is a backend server with a sidecar, in memory.
+type engine struct {
+	queue   *admission.SlotQueue
+	sidecar *pipeListener
+	front   *pipeListener
+	sends   atomic.Int64
+	// left is closed when the first send's connection ends.
+	left chan struct{}
+}
+
+// engineWorld is an entry before engines, in virtual time. It must be made in a bubble.
+type engineWorld struct {
+	c       *qt.C
+	gateway *gateway.Gateway
+	engines []*engine
+}
+
+func newEngineWorld(t *testing.T, number int, s serve) *engineWorld {
+	w := &engineWorld{c: qt.New(t)}
+	// Runs last: engines that pause have all ended then.
+	t.Cleanup(func() { time.Sleep(2 * longPause) })
+	byAddress := map[string]*engine{}
+	dir := fleet.NewDirectory()
+	for i := range number {
+		address := fmt.Sprint("engine-", i)
+		e := newEngine(t, s)
+		w.engines, byAddress[address] = append(w.engines, e), e
+		dir.Put(fleet.Server{ID: address, Service: "model", Address: address, Slots: engineSlots})
+	}
+	dir.StoreAnswered(time.Now())
+	client := upstream.New(upstream.Options{
+		IDOf: func(h http.Header) string { return h.Get("Id") },
+		Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return byAddress[address].front.dial(ctx)
+		},
+	})
+	leases := slots.NewClient(func(ctx context.Context, _, address string) (net.Conn, error) {
+		return byAddress[address].sidecar.dial(ctx)
+	})
+	t.Cleanup(func() {
+		client.CloseIdle()
+		leases.Close()
+	})
+	var err error
+	w.gateway, err = gateway.New(gateway.Options{
+		Codec: codec{}, Manifest: w.manifest(), Directory: dir, Upstream: client,
+		Slots: leases, SlotAddress: func(server fleet.Server) string { return server.Address },
+		Entries: func() int { return 1 }, Limits: limit.NewPool(time.Now()),
+		Bounds: gateway.Bounds{
+			ApplyWithin: 2 * time.Second, RevokeWithin: 5 * time.Second,
+			Retries: gateway.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+		},
+		Logger: zerolog.Nop(),
+	})
+	w.c.Assert(err, qt.IsNil)
+	return w
+}
+
+func (w *engineWorld) manifest() *fleet.Holder {
+	m, err := fleet.NewManifest(1, []*fleet.Route{{
+		Name: "resumable", Host: "a", PathPrefix: "/", Kind: fleet.KindStreaming, Resumable: true, Timeout: 6 * time.Second,
+		Objective: 500 * time.Millisecond, MaxEventGap: 250 * time.Millisecond, MaxServers: 2,
+		Shares: []fleet.Share{{Service: "model", Weight: 1}},
+	}}, []*fleet.Service{{Name: "model", Engine: &fleet.Engine{Slots: engineSlots}}}, nil, fleet.ClientLimits{})
+	w.c.Assert(err, qt.IsNil)
+	holder := &fleet.Holder{}
+	holder.Set(m)
+	holder.Confirm(steady.Now())
+	return holder
+}
+
+func newEngine(t *testing.T, s serve) *engine {
+	e := &engine{
+		queue:   admission.NewSlotQueue(admission.SlotOptions{Slots: engineSlots}),
+		sidecar: newPipeListener(), front: newPipeListener(), left: make(chan struct{}),
+	}
+	server := slots.NewServer(slots.ServerOptions{
+		Queue:  e.queue,
+		Probe:  func(context.Context) (slots.EngineState, error) { return slots.EngineState{}, nil },
+		Logger: zerolog.Nop(),
+	})
+	mux := http.NewServeMux()
+	mux.Handle("GET "+slots.Path, server)
+	internal := transport.NewInternalServer(mux)
+	go func() { _ = internal.Serve(e.sidecar) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = server.Run(ctx) }()
+	go e.serve(s)
+	t.Cleanup(func() {
+		cancel()
+		_ = e.front.Close()
+		_ = internal.Close()
+	})
+	return e
+}
+
+func (e *engine) serve(s serve) {
+	for {
+		conn, err := e.front.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
+			if e.sends.Add(1) == 1 {
+				go func() {
+					_, _ = reader.ReadByte()
+					close(e.left)
+				}()
+			}
+			s(request, conn)
+		}()
+	}
+}
+
+// fill holds the slot of an engine until the function it returns is called.
+func (e *engine) fill(c *qt.C) func() {
+	ticket := e.queue.Submit(time.Now(), admission.Request{ID: "other", Deadline: time.Now().Add(longPause)})
+	<-ticket.Decided()
+	c.Assert(ticket.Refusal() == nil, qt.IsTrue)
+	return func() { e.queue.Finish(time.Now(), ticket, admission.Outcome{}) }
+}
+
+// call sends a request and returns the whole answer; cut says that it broke off.
+func (w *engineWorld) call() (response *httptest.ResponseRecorder, cut bool) {
+	request := httptest.NewRequest("POST", "http://a/x", strings.NewReader("p"))
+	request.Header.Set("Id", fmt.Sprint("r", requestNumber.Add(1)))
+	response = httptest.NewRecorder()
+	defer func() {
+		if cause := recover(); cause != nil {
+			w.c.Assert(cause, qt.Equals, http.ErrAbortHandler)
+			cut = true
+		}
+	}()
+	w.gateway.ServeHTTP(response, request)
+	return response, false
+}
+
+// pausing answers a stream of three events with a pause before one of them; a stream
+// that is taken up goes on without a pause.
+func pausing(before int, pause time.Duration) serve {
+	return func(request *http.Request, conn net.Conn) {
+		last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+		if last > 0 {
+			events(request, conn, last+1, 3, false)
+			return
+		}
+		if before == 1 {
+			time.Sleep(pause)
+			events(request, conn, 1, 3, false)
+			return
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s1\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+		for i := 1; i <= 3; i++ {
+			if i == before {
+				time.Sleep(pause)
+			}
+			text := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+		}
+		fmt.Fprint(conn, "0\r\n\r\n")
+	}
+}
+
+// occupyOthers leaves one engine free and returns it, a second one, and the functions
+// that free the others.
+func (w *engineWorld) occupyOthers() (free, other *engine, release []func()) {
+	for _, e := range w.engines[1:] {
+		release = append(release, e.fill(w.c))
+	}
+	return w.engines[0], w.engines[1], release
+}
+
+func (w *engineWorld) sends() int64 {
+	n := int64(0)
+	for _, e := range w.engines {
+		n += e.sends.Load()
+	}
+	return n
+}
+
+// expectNoTickets checks that nothing of a request is left in the queues.
+func (w *engineWorld) expectNoTickets(running int) {
+	w.c.Helper()
+	synctest.Wait()
+	held := 0
+	for _, e := range w.engines {
+		load := e.queue.Load()
+		held += load.Running
+		w.c.Assert(load.Waiting, qt.Equals, [admission.MaxRank + 1]int{})
+	}
+	w.c.Assert(held, qt.Equals, running)
+}
+
+// TestPausedEngineKeepsItsRequestWhileOthersAreFull guards against ending an answer
+// because its engine pauses, without another engine that could give it.
+func TestPausedEngineKeepsItsRequestWhileOthersAreFull(t *testing.T) {
+	for _, before := range []int{1, 2} {
+		for _, refuse := range []bool{false, true} {
+			t.Run(fmt.Sprintf("before event %d, refused %t", before, refuse), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newEngineWorld(t, 4, pausing(before, 1700*time.Millisecond))
+					_, _, release := w.occupyOthers()
+					if refuse {
+						for _, e := range w.engines[1:] {
+							e.queue.Drain(time.Now())
+						}
+					}
+					response, cut := w.call()
+					w.c.Assert(cut, qt.IsFalse)
+					w.c.Assert(response.Code, qt.Equals, http.StatusOK)
+					w.c.Assert(response.Body.String(), qt.Equals, threeEvents)
+					w.c.Assert(w.sends(), qt.Equals, int64(1))
+					w.expectNoTickets(len(release))
+				})
+			})
+		}
+	}
+}
+
+// TestPausedStreamMovesOnceASlotIsFree: both engines must not work on it together.
+func TestPausedStreamMovesOnceASlotIsFree(t *testing.T) {
+	for _, before := range []int{1, 2} {
+		t.Run(fmt.Sprint("before event ", before), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var calls atomic.Int64
+				w := newEngineWorld(t, 3, func(request *http.Request, conn net.Conn) {
+					if calls.Add(1) == 1 {
+						pausing(before, longPause)(request, conn)
+						return
+					}
+					last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+					events(request, conn, last+1, 3, false)
+				})
+				free, other, release := w.occupyOthers()
+				began := time.Now()
+				time.AfterFunc(1200*time.Millisecond, release[0])
+				response, cut := w.call()
+				w.c.Assert(cut, qt.IsFalse)
+				w.c.Assert(response.Body.String(), qt.Equals, threeEvents)
+				w.c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+				<-free.left
+				w.c.Assert(free.sends.Load(), qt.Equals, int64(1))
+				w.c.Assert(other.sends.Load(), qt.Equals, int64(1))
+				w.expectNoTickets(len(release) - 1)
+			})
+		})
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -42,19 +42,19 @@
 	if len(list) == 0 {
 		return nil, unavailable(KindNoServer, defaultRetryAfter, "the service has no backend server that can be tried")
 	}
-	var at *placement
-	var failure *Failure
-	if one.engine != nil {
-		at, failure = g.placeAtEngine(ctx, one, list)
-	} else {
-		server := g.servers.leastLoaded(list, now)
-		at = &placement{server: server, release: func(admission.Outcome) {}}
-	}
+	at, failure := g.placeAt(ctx, one, list, false)
 	p.waited += time.Since(now)
-	if failure != nil {
-		return nil, failure
+	return at, failure
+}
+
+// placeAt finds a place at one of the backend servers of a list. With granted set, an
+// engine whose sidecar is silent is no place.
+func (g *Gateway) placeAt(ctx context.Context, one *call, list []fleet.Server, granted bool) (*placement, *Failure) {
+	if one.engine != nil {
+		return g.placeAtEngine(ctx, one, list, granted)
 	}
-	return at, nil
+	server := g.servers.leastLoaded(list, time.Now())
+	return &placement{server: server, release: func(admission.Outcome) {}}, nil
 }
 
 // ticketResult is the end of one ticket.
@@ -77,7 +77,9 @@
 	asked int
 	// maxOpen and maxAsked bound the tickets at a time and in all.
 	maxOpen, maxAsked int
-	rest              []candidate
+	// granted excludes engines that would get the request without a slot.
+	granted bool
+	rest    []candidate
 	// retryAfter is the shortest time that a sidecar named.
 	retryAfter time.Duration
 	reason     string
@@ -85,8 +87,8 @@
 
 // placeAtEngine queues a call at the sidecar of the most promising engine, and, while
 // it waits, at further ones. The first slot that is granted is taken.
-func (g *Gateway) placeAtEngine(ctx context.Context, one *call, list []fleet.Server) (*placement, *Failure) {
-	t := &tickets{g: g, one: one, results: make(chan ticketResult, len(list)), rest: g.servers.candidates(list, one, time.Now())}
+func (g *Gateway) placeAtEngine(ctx context.Context, one *call, list []fleet.Server, granted bool) (*placement, *Failure) {
+	t := &tickets{g: g, one: one, granted: granted, results: make(chan ticketResult, len(list)), rest: g.servers.candidates(list, one, time.Now())}
 	t.maxOpen, t.maxAsked = maxTickets, maxAsks
 	if g.delay() > leanDelay {
 		t.maxOpen, t.maxAsked = leanTickets, leanAsks
@@ -126,7 +128,7 @@
 		t.rest = t.rest[1:]
 		address := t.g.options.SlotAddress(c.server)
 		if c.silent || address == "" {
-			if t.open > 0 || !t.g.servers.takeDirect(c.server.ID) {
+			if t.granted || t.open > 0 || !t.g.servers.takeDirect(c.server.ID) {
 				continue
 			}
 			return t.direct(c.server)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,9 +44,16 @@
 	status       int
 	// reply is the last failure that a backend server answered with.
 	reply *reply
-	// stalled is set when the last send was given up for a further one, which is paid
-	// for from the retry budget already.
-	stalled atomic.Bool
+	// next is the place that the last send was given up for. It is paid for from the
+	// retry budget already.
+	next *placement
+}
+
+// takeNext returns the place that the last send was given up for, or nil.
+func (p *progress) takeNext() *placement {
+	at := p.next
+	p.next = nil
+	return at
 }
 
 // verdict says what became of one send.
@@ -83,10 +89,14 @@
 // run answers a call. Every failure it returns is final.
 func (g *Gateway) run(ctx context.Context, one *call, p *progress) *Failure {
 	p.tried = map[string]bool{}
+	defer func() { p.takeNext().giveBack() }()
 	for {
-		place, failure := g.place(ctx, one, p)
-		if failure != nil {
-			return g.final(ctx, one, p, failure)
+		place := p.takeNext()
+		if place == nil {
+			var failure *Failure
+			if place, failure = g.place(ctx, one, p); failure != nil {
+				return g.final(ctx, one, p, failure)
+			}
 		}
 		if g.probablyLeft(one, p) {
 			place.release(admission.Outcome{})
@@ -110,7 +120,7 @@
 	if steady.Until(one.deadline) < leastRetryTime {
 		return false
 	}
-	if p.stalled.Swap(false) {
+	if p.next != nil {
 		return true
 	}
 	switch last {
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"time"
 
+	"github.com/lagoonlane/lagoonlane/internal/admission"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
 
@@ -13,14 +16,15 @@
 	minSilence        = 400 * time.Millisecond
 	silenceObjectives = 2
 	// streamStallObjectives is how long a stream that may be resumed waits for its first
-	// event before it goes elsewhere, in objectives. For plain requests that may be repeated
+	// event before it looks for another place, in objectives. For plain requests that may be repeated
 	// it is the longer of plainStallObjectives, which leaves time for an answer in time, and
 	// plainStallTimes mean answer times of the service's servers.
 	streamStallObjectives = 1.0
 	plainStallObjectives  = 0.5
 	plainStallTimes       = 3
-	// stallGaps is how long a stream that may be resumed may pause, in its longest usual
-	// pauses, and at least minStallGap.
+	// stallGaps is how long a stream that may be resumed may pause before it looks for
+	// another place, in its longest usual pauses, and at least minStallGap. It is also the
+	// time between two such looks.
 	stallGaps   = 2
 	minStallGap = 500 * time.Millisecond
 )
@@ -37,29 +41,45 @@
 
 var errStalled = &StalledError{}
 
-// stallWatch ends a send whose backend server is silent for too long. The zero value
-// watches nothing.
+// stallWatch looks for another place for a send whose backend server is silent for too
+// long. The send goes on meanwhile: it is ended only once there is a place, so that the
+// silence of a backend server never costs an answer that nobody else can give. The zero
+// value watches nothing.
 type stallWatch struct {
-	timer  *time.Timer
+	g      *Gateway
+	one    *call
+	parent context.Context
 	cancel context.CancelCauseFunc
+	// tried holds the backend servers that may not be chosen.
+	tried map[string]bool
 	// gap is how long a pause between two events may be.
 	gap time.Duration
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// events counts the signs of progress. A place that was looked for before the last
+	// one is given back.
+	events int
+	// endLook ends the look that is going on.
+	endLook context.CancelFunc
+	ended   bool
+	// next is the place that the send was ended for.
+	next *placement
 }
 
-// watchStall watches a send that may be repeated elsewhere. Others are left alone: the
-// silence of a backend server is no reason to end an answer that nobody else can give.
+// watchStall watches a send that may be repeated elsewhere.
 func (g *Gateway) watchStall(ctx context.Context, one *call, p *progress) (context.Context, *stallWatch) {
 	if !one.route.Repeatable() || p.ran+1 >= one.route.MaxServers {
 		return ctx, &stallWatch{}
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	w := &stallWatch{cancel: cancel, gap: max(minStallGap, stallGaps*one.route.MaxEventGap)}
-	w.timer = time.AfterFunc(g.firstStall(one), func() {
-		if g.mayLeaveStalled(one, p) {
-			p.stalled.Store(true)
-			cancel(errStalled)
-		}
-	})
+	w := &stallWatch{
+		g: g, one: one, parent: ctx, tried: maps.Clone(p.tried),
+		gap: max(minStallGap, stallGaps*one.route.MaxEventGap),
+	}
+	ctx, w.cancel = context.WithCancelCause(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(g.firstStall(one), w.look)
 	return ctx, w
 }
 
@@ -72,26 +92,95 @@
 	return max(time.Duration(plainStallObjectives*float64(one.route.Objective)), plainStallTimes*typical)
 }
 
-// mayLeaveStalled reports whether there is another backend server to go to, and takes
-// the repeat from the retry budget.
-func (g *Gateway) mayLeaveStalled(one *call, p *progress) bool {
+// look seeks another place and moves the request there, unless its backend server goes
+// on in the meantime. Without a place it looks again later.
+func (w *stallWatch) look() {
+	if steady.Until(w.one.deadline) < w.one.route.Objective {
+		return
+	}
+	ctx, cancel := context.WithCancel(w.parent)
+	defer cancel()
+	w.mu.Lock()
+	w.endLook = cancel
+	events, ended := w.events, w.ended
+	w.mu.Unlock()
+	if ended {
+		return
+	}
+	at, failure := w.g.placeElsewhere(ctx, w.one, w.tried)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended || w.events != events {
+		at.giveBack()
+		return
+	}
+	if failure == nil && !w.g.retries.take(w.one.service, w.g.options.Entries(), time.Now()) {
+		at.giveBack()
+		failure = errNoRepeat
+	}
+	if failure != nil {
+		w.g.logger.Info().Str("request_id", w.one.info.ID).Int("events", events).
+			Str("outcome", "kept").Str("reason", failure.Detail).Msg("stall")
+		w.timer.Reset(w.gap)
+		return
+	}
+	w.ended, w.next = true, at
+	w.cancel(errStalled)
+}
+
+// errNoRepeat is why a stalled request stays although there is a place for it.
+var errNoRepeat = unavailable(KindNoServer, defaultRetryAfter, "the retry budget is used up")
+
+// placeElsewhere waits for a slot at a backend server that wasn't tried.
+func (g *Gateway) placeElsewhere(ctx context.Context, one *call, tried map[string]bool) (*placement, *Failure) {
 	now := time.Now()
-	if steady.Until(one.deadline) < one.route.Objective || len(g.options.Directory.Ready(one.service, now)) < 2 {
-		return false
+	if !g.retries.left(one.service, g.options.Entries(), now) {
+		return nil, errNoRepeat
+	}
+	list := g.servers.usable(g.options.Directory.Ready(one.service, now), tried, now)
+	if len(list) == 0 {
+		return nil, unavailable(KindNoServer, defaultRetryAfter, "the service has no other backend server")
+	}
+	return g.placeAt(ctx, one, list, true)
+}
+
+// giveBack frees a slot that isn't used.
+func (at *placement) giveBack() {
+	if at != nil {
+		at.release(admission.Outcome{})
 	}
-	return g.retries.take(one.service, g.options.Entries(), now)
 }
 
 // progress says that an event has come.
 func (w *stallWatch) progress() {
-	if w.timer != nil && w.timer.Stop() {
-		w.timer.Reset(w.gap)
+	if w.timer == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
 	}
+	w.events++
+	if w.endLook != nil {
+		w.endLook()
+		w.endLook = nil
+	}
+	w.timer.Reset(w.gap)
 }
 
-func (w *stallWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-		w.cancel(nil)
+// stop ends the watch. It returns the place that the request goes on at, or nil.
+func (w *stallWatch) stop() *placement {
+	if w.timer == nil {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	w.timer.Stop()
+	if w.endLook != nil {
+		w.endLook()
 	}
+	w.cancel(nil)
+	return w.next
 }
