--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,6 +67,7 @@
 	internal *http.ServeMux
 	// servers are closed when the process ends.
 	servers []listenServer
+	*lifecycleLog
 }
 
 // listenServer is what a process needs of a server of one address.
@@ -99,10 +97,14 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
 	}
+	life, err := newLifecycleLog(logger, metrics.Meter, settings)
+	if err != nil {
+		return nil, err
+	}
 	if metricsPort > 0 {
 		settings.Metrics = net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort))
 	}
-	return &node{settings: settings, logger: logger, logs: out, metrics: metrics, internal: http.NewServeMux()}, nil
+	return &node{settings: settings, logger: logger, logs: out, metrics: metrics, internal: http.NewServeMux(), lifecycleLog: life}, nil
 }
 
 // listen serves a handler on an address until the node ends.
@@ -111,6 +113,7 @@
 	if err != nil {
 		return errors.WithStack(&ListenError{Address: address, Cause: err})
 	}
+	listener = n.listener(listener, address)
 	n.servers = append(n.servers, server)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -123,12 +126,12 @@
 
 // listenInternal serves other processes and the metrics page.
 func (n *node) listenInternal(group *errgroup.Group) error {
-	if err := n.listen(group, transport.NewInternalServer(n.internal), n.settings.Internal); err != nil {
+	if err := n.listen(group, n.prepared(transport.NewInternalServer(n.internal), "internal"), n.settings.Internal); err != nil {
 		return err
 	}
 	page := http.NewServeMux()
 	page.Handle("GET /metrics", n.metrics.Handler)
-	return n.listen(group, transport.NewInternalServer(page), n.settings.Metrics)
+	return n.listen(group, n.prepared(transport.NewInternalServer(page), "metrics"), n.settings.Metrics)
 }
 
 // run serves until ctx is done, then lets leave end what is running.
@@ -136,12 +139,13 @@
 	for _, run := range work {
 		group.Go(func() error { return untilDone(groupCtx, run) })
 	}
-	n.logger.Info().Str("internal", n.settings.Internal).Str("front", n.settings.Front).Str("outcome", "started").Msg("process")
-	n.watchSettings(ctx)
+	n.started()
+	<-ctx.Done()
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.ShutdownGrace-exitMargin)
 	defer cancel()
-	n.logger.Info().Str("outcome", "stopping").Msg("process")
+	n.stopping(ctx)
 	leave(bounded)
+	n.cutRunning()
 	for _, server := range n.servers {
 		if err := server.Close(); err != nil {
 			n.logger.Warn().Err(err).Msg("a listener could not be closed")
@@ -149,7 +153,7 @@
 	}
 	stop()
 	err := group.Wait()
-	n.logger.Info().Str("outcome", "stopped").Msg("process")
+	n.stopped()
 	return errors.WithMessage(firstError(err, n.logs.Close()), "platform role")
 }
 
@@ -162,32 +166,13 @@
 	return nil
 }
 
-// watchSettings reads the settings file again on SIGHUP, until ctx is done. What a
-// process is bound to (addresses, store) holds until its next start.
-func (n *node) watchSettings(ctx context.Context) {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-reload:
-			if _, err := platform.LoadSettings(); err != nil {
-				n.logger.Error().Err(err).Str("outcome", "settings kept").Msg("reload")
-				continue
-			}
-			n.logger.Info().Str("outcome", "settings read").Msg("reload")
-		}
-	}
-}
-
 // runPlatformSidecar hands out the slots of the engine on the same machine.
-func runPlatformSidecar(ctx context.Context, metricsPort int) error {
+func runPlatformSidecar(ctx context.Context, signals *signalHandler, metricsPort int) error {
 	n, err := newNode("sidecar", metricsPort)
 	if err != nil {
 		return err
 	}
+	signals.attach(n.logger, n.reload)
 	server := slots.NewServer(slots.ServerOptions{
 		Queue:  admission.NewSlotQueue(admission.SlotOptions{}),
 		Probe:  platform.NewEngineProbe(n.settings.Engine),
@@ -234,7 +219,7 @@
 	peers := transport.NewClient("", nil)
 	pool := limit.NewPool(time.Now())
 	e.roster = roster.New(roster.Options{
-		ID: n.settings.ID, Address: n.settings.Internal, Boot: rand.Text(), Client: peers, Pool: pool,
+		ID: n.settings.ID, Address: n.settings.Internal, Boot: n.boot, Client: peers, Pool: pool,
 		Configuration: e.configuration.Configuration,
 		Offer:         func(raw []byte) { e.configuration.Offer(raw, "peer") },
 		Confirm:       e.configuration.Confirm,
@@ -250,17 +235,18 @@
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
 		},
-		Logger: n.logger, Meter: n.metrics.Meter,
+		Logger: n.logger, Meter: n.metrics.Meter, Requests: n.requests,
 	})
 	return e, err
 }
 
 // runPlatformEntry serves the platform's callers.
-func runPlatformEntry(ctx context.Context, metricsPort int) error {
+func runPlatformEntry(ctx context.Context, signals *signalHandler, metricsPort int) error {
 	e, err := newEntryNode(metricsPort)
 	if err != nil {
 		return err
 	}
+	signals.attach(e.logger, e.reload)
 	e.roster.Register(e.internal)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -268,12 +254,15 @@
 	if err := e.listenInternal(group); err != nil {
 		return err
 	}
-	if err := e.listen(group, &http.Server{Handler: e.readiness(), ReadHeaderTimeout: callerHeaderTimeout}, e.settings.Ready); err != nil {
+	ready := e.prepared(&http.Server{Handler: e.readiness(), ReadHeaderTimeout: callerHeaderTimeout}, "ready")
+	if err := e.listen(group, ready, e.settings.Ready); err != nil {
 		return err
 	}
-	e.public = callerconn.NewServer(&http.Server{
+	front := &http.Server{
 		Handler: e.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-	})
+	}
+	e.public = callerconn.NewServer(front)
+	e.watched(front)
 	if err := e.listen(group, e.public, e.settings.Front); err != nil {
 		return err
 	}
@@ -332,7 +321,8 @@
 	case <-time.After(leaveAfter):
 	case <-bounded.Done():
 	}
+	e.closingIdle()
 	if err := e.public.Shutdown(bounded); err != nil {
-		e.logger.Warn().Err(err).Msg("requests were still running at the end of the grace time")
+		e.logger.Warn().Err(err).Int64("running", e.requests.Running()).Msg("requests were still running at the end of the grace time")
 	}
 }
