--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"maps"
+	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/lagoonlane/lagoonlane/internal/admission"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
 
@@ -14,14 +18,15 @@
 	minSilence        = 400 * time.Millisecond
 	silenceObjectives = 2
 	// streamStallObjectives is how long a stream that may be resumed waits for its first
-	// event before it goes elsewhere, in objectives. For plain requests that may be repeated
+	// event before it looks for another place, in objectives. For plain requests that may be repeated
 	// it is the longer of plainStallObjectives, which leaves time for an answer in time, and
 	// plainStallTimes mean answer times of the service's servers.
 	streamStallObjectives = 1.0
 	plainStallObjectives  = 0.5
 	plainStallTimes       = 3
-	// stallGaps is how long a stream that may be resumed may pause, in its longest usual
-	// pauses, and at least minStallGap.
+	// stallGaps is how long a stream that may be resumed may pause before it looks for
+	// another place, in its longest usual pauses, and at least minStallGap. It is also the
+	// time between two such looks.
 	stallGaps   = 2
 	minStallGap = 500 * time.Millisecond
 )
@@ -38,36 +43,50 @@
 
 var errStalled = &StalledError{}
 
-// stallWatch ends a send whose backend server is silent for too long. The zero value
-// watches nothing.
+// stallWatch looks for another place for a send whose backend server is silent for too
+// long. The send goes on meanwhile: it is ended only once there is a place, so that the
+// silence of a backend server never costs an answer that nobody else can give. The zero
+// value watches nothing.
 type stallWatch struct {
-	timer  *time.Timer
+	g      *Gateway
+	one    *call
+	parent context.Context
 	cancel context.CancelCauseFunc
+	// tried holds the backend servers that may not be chosen.
+	tried map[string]bool
+	// server is the backend server that is watched.
+	server string
 	// first is how long the first event may take, gap how long a pause between two.
 	first, gap time.Duration
-	// heard is when the last event came (Unix nanoseconds), or when the request was sent;
-	// events counts them.
-	heard, events atomic.Int64
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// heard is when the last event came, or when the request was sent.
+	heard time.Time
+	// events counts the signs of progress. A place that was looked for before the last
+	// one is given back.
+	events int
+	// endLook ends the look that is going on.
+	endLook context.CancelFunc
+	ended   bool
+	// next is the place that the send was ended for.
+	next *placement
 }
 
-// watchStall watches a send that may be repeated elsewhere. Others are left alone: the
-// silence of a backend server is no reason to end an answer that nobody else can give.
+// watchStall watches a send that may be repeated elsewhere.
 func (g *Gateway) watchStall(ctx context.Context, one *call, p *progress) (context.Context, *stallWatch) {
 	if !one.route.Repeatable() || p.ran+1 >= one.route.MaxServers {
 		return ctx, &stallWatch{}
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	w := &stallWatch{cancel: cancel, first: g.firstStall(one), gap: max(minStallGap, stallGaps*one.route.MaxEventGap)}
-	w.heard.Store(time.Now().UnixNano())
-	server := p.server
-	w.timer = time.AfterFunc(w.first, func() {
-		leaves := g.mayLeaveStalled(one, p)
-		g.logStall(one, w, server, leaves)
-		if leaves {
-			p.stalled.Store(true)
-			cancel(errStalled)
-		}
-	})
+	w := &stallWatch{
+		g: g, one: one, parent: ctx, tried: maps.Clone(p.tried),
+		server: p.server, first: g.firstStall(one), gap: max(minStallGap, stallGaps*one.route.MaxEventGap),
+		heard: time.Now(),
+	}
+	ctx, w.cancel = context.WithCancelCause(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(w.first, w.look)
 	return ctx, w
 }
 
@@ -80,44 +99,106 @@
 	return max(time.Duration(plainStallObjectives*float64(one.route.Objective)), plainStallTimes*typical)
 }
 
-// mayLeaveStalled reports whether there is another backend server to go to, and takes
-// the repeat from the retry budget.
-func (g *Gateway) mayLeaveStalled(one *call, p *progress) bool {
-	now := time.Now()
-	if steady.Until(one.deadline) < one.route.Objective || len(g.options.Directory.Ready(one.service, now)) < 2 {
-		return false
+// look seeks another place and moves the request there, unless its backend server goes
+// on in the meantime. Without a place it looks again later.
+func (w *stallWatch) look() {
+	if steady.Until(w.one.deadline) < w.one.route.Objective {
+		return
+	}
+	ctx, cancel := context.WithCancel(w.parent)
+	defer cancel()
+	w.mu.Lock()
+	w.endLook = cancel
+	events, ended := w.events, w.ended
+	w.mu.Unlock()
+	if ended {
+		return
+	}
+	at, failure := w.g.placeElsewhere(ctx, w.one, w.tried)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended || w.events != events {
+		at.giveBack()
+		return
 	}
-	return g.retries.take(one.service, g.options.Entries(), now)
+	if failure == nil && !w.g.retries.take(w.one.service, w.g.options.Entries(), time.Now()) {
+		at.giveBack()
+		failure = errNoRepeat
+	}
+	if failure != nil {
+		w.log().Str("outcome", "kept").Str("reason", failure.Detail).Msg("stall")
+		w.timer.Reset(w.gap)
+		return
+	}
+	w.log().Str("outcome", "moved").Str("to", at.server.ID).Msg("stall")
+	w.ended, w.next = true, at
+	w.cancel(errStalled)
 }
 
-// logStall writes a line for a pause that was too long. Whether another backend server
-// took the request is told by the lines that follow: "repeat", or no_retry of "request".
-func (g *Gateway) logStall(one *call, w *stallWatch, server string, leaves bool) {
-	outcome, limit, events := "waits on", w.gap, w.events.Load()
-	if leaves {
-		outcome = "given up"
-	}
-	if events == 0 {
+// log begins the line for a pause that was too long. The caller holds mu.
+func (w *stallWatch) log() *zerolog.Event {
+	limit := w.gap
+	if w.events == 0 {
 		limit = w.first
 	}
-	g.logger.Info().Str("request_id", one.info.ID).Str("backend_server", server).Int64("events", events).
-		Dur("pause_ms", time.Since(time.Unix(0, w.heard.Load()))).Dur("limit_ms", limit).
-		Dur("time_left_ms", steady.Until(one.deadline)).Int("ready", len(g.options.Directory.Ready(one.service, time.Now()))).
-		Str("outcome", outcome).Msg("stall")
+	return w.g.logger.Info().Str("request_id", w.one.info.ID).Str("backend_server", w.server).Int("events", w.events).
+		Dur("pause_ms", time.Since(w.heard)).Dur("limit_ms", limit).Dur("time_left_ms", steady.Until(w.one.deadline))
+}
+
+// errNoRepeat is why a stalled request stays although there is a place for it.
+var errNoRepeat = unavailable(KindNoServer, defaultRetryAfter, "the retry budget is used up")
+
+// placeElsewhere waits for a slot at a backend server that wasn't tried.
+func (g *Gateway) placeElsewhere(ctx context.Context, one *call, tried map[string]bool) (*placement, *Failure) {
+	now := time.Now()
+	if !g.retries.left(one.service, g.options.Entries(), now) {
+		return nil, errNoRepeat
+	}
+	list := g.servers.usable(g.options.Directory.Ready(one.service, now), tried, now)
+	if len(list) == 0 {
+		return nil, unavailable(KindNoServer, defaultRetryAfter, "the service has no other backend server")
+	}
+	return g.placeAt(ctx, one, list, true)
+}
+
+// giveBack frees a slot that isn't used.
+func (at *placement) giveBack() {
+	if at != nil {
+		at.release(admission.Outcome{})
+	}
 }
 
 // progress says that an event has come.
 func (w *stallWatch) progress() {
-	w.heard.Store(time.Now().UnixNano())
-	w.events.Add(1)
-	if w.timer != nil && w.timer.Stop() {
-		w.timer.Reset(w.gap)
+	if w.timer == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
 	}
+	w.events++
+	w.heard = time.Now()
+	if w.endLook != nil {
+		w.endLook()
+		w.endLook = nil
+	}
+	w.timer.Reset(w.gap)
 }
 
-func (w *stallWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-		w.cancel(nil)
+// stop ends the watch. It returns the place that the request goes on at, or nil.
+func (w *stallWatch) stop() *placement {
+	if w.timer == nil {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	w.timer.Stop()
+	if w.endLook != nil {
+		w.endLook()
 	}
+	w.cancel(nil)
+	return w.next
 }
