Bound the head of a backend server's answer

What callers saw: nothing yet; by reading. A backend server that sends a status line, a header, headers, interim (1xx) heads or answers to other requests without end made the entry read them into memory until the caller's deadline, so that one such server could take the entry's memory with it.

Cause: http.ReadResponse reads lines and headers of any length; interim heads were passed over without a count; each of four stray answers could be 1 MiB; an answer that nobody gets was read up to 8 MiB and for as long as it dripped.

Change: one reader below the buffer of each connection counts the bytes of an exchange and bounds its parts: 16 KiB and 8 interim heads before a body, 1 MiB for all stray answers together, 64 KiB and 50 ms for an answer that is read only to keep its connection. Each bound is a typed error (ExcessError; MalformedError for bytes that are no answer) inside BrokenError, so the request counts as one that may have run, and the connection is closed. A long body is no longer copied behind the head before it is written.

Evidence: internal/upstream/endless_test.go, one test for each pattern. Chunk headers, extensions and trailers were bounded by net/http already; the tests keep that.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -138,10 +138,11 @@
 	return sendResult{verdict: verdictAnswered, firstEvent: first}
 }
 
-// discard reads an answer that isn't passed on, so that its connection can be kept.
+// discard reads an answer that isn't passed on, if it is short, so that its connection
+// can be kept.
 func (g *Gateway) discard(answer *upstream.Answer, v verdict, why string) sendResult {
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxReplyBytes)); err != nil {
-		g.logger.Debug().Err(err).Msg("an answer that is not passed on broke off")
+	if err := answer.Drain(); err != nil {
+		g.logger.Debug().Err(err).Msg("an answer that is not passed on has no end in time; its connection is closed")
 	}
 	return sendResult{verdict: v, err: &AnswerError{Status: answer.Status, Problem: why}}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -23,23 +23,21 @@
 	// inlineBody is the size up to which a body is written before the answer is
 	// read; a server that answers early may not read a longer one.
 	inlineBody = 4 << 10
-	// maxStray bounds the answers to other requests that are passed over.
-	maxStray = 4
-	// maxStrayBytes bounds the body of such an answer.
-	maxStrayBytes = 1 << 20
 )
 
 // conn is one connection. It carries one request at a time.
 type conn struct {
 	net.Conn
 	server  string
+	in      *boundedReader
 	reader  *bufio.Reader
 	expires time.Time
 	once    sync.Once
 }
 
 func newConn(raw net.Conn, server string) *conn {
-	return &conn{Conn: raw, server: server, reader: bufio.NewReaderSize(raw, readBuffer)}
+	in := &boundedReader{conn: raw}
+	return &conn{Conn: raw, server: server, in: in, reader: bufio.NewReaderSize(in, readBuffer)}
 }
 
 // close closes the connection; its error says nothing of the request.
@@ -85,7 +83,7 @@
 		written <- err
 	} else {
 		go func() {
-			_, err := c.Write(append(head, request.Body...))
+			_, err := (&net.Buffers{head, request.Body}).WriteTo(c.Conn)
 			written <- err
 		}()
 	}
@@ -127,37 +125,60 @@
 // readHead reads heads until it finds the answer to the request. Answers that name
 // another request are late or extra ones and are passed over.
 func (c *conn) readHead(client *Client, request *Request) (*http.Response, error) {
-	for stray := 0; stray <= maxStray; {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+	c.in.begin()
+	stray := int64(0)
+	for range maxStray + 1 {
+		response, err := c.readFinalHead(request)
 		if err != nil {
-			return nil, errors.Wrap(err, "answer")
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
+			return nil, err
 		}
 		id := ""
 		if client.options.IDOf != nil {
 			id = client.options.IDOf(response.Header)
 		}
 		if id == "" || id == request.ID {
+			c.in.unbind()
 			return response, nil
 		}
-		stray++
-		if _, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); !errors.Is(err, io.EOF) {
-			return nil, errors.WithStack(&StrayError{ID: id})
-		}
 		if response.Close {
 			return nil, errors.WithStack(&StrayError{ID: id})
 		}
+		c.in.bound(ExcessStray, maxStrayBytes-stray)
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, errors.WithStack(&StrayError{ID: id, Cause: c.in.explain(err)})
+		}
+		stray = min(c.in.read, maxStrayBytes)
+	}
+	return nil, errors.WithStack(&ExcessError{Kind: ExcessStray, Read: c.in.read, Limit: maxStrayBytes})
+}
+
+// readFinalHead reads the head of one answer; interim heads before it are passed over.
+func (c *conn) readFinalHead(request *Request) (*http.Response, error) {
+	c.in.bound(ExcessHead, maxHeadBytes)
+	for range maxInterim + 1 {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		if err != nil {
+			return nil, errors.Wrap(c.in.explain(err), "answer")
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
 	}
-	return nil, errors.WithStack(&StrayError{})
+	return nil, errors.WithStack(&ExcessError{Kind: ExcessInterim, Read: maxInterim + 1, Limit: maxInterim})
 }
 
 // StrayError says that a connection carried an answer to another request and can't be used.
-type StrayError struct{ ID string }
+type StrayError struct {
+	ID string
+	// Cause is why the answer was not read to its end; nil: the connection ends with it.
+	Cause error
+}
 
 func (e *StrayError) Error() string { return "the connection carried an answer to the request " + e.ID }
 
+// Unwrap returns the cause.
+func (e *StrayError) Unwrap() error { return e.Cause }
+
 // Answer is an answer of which the head has been read.
 type Answer struct {
 	Status  int
@@ -177,7 +198,23 @@
 	if errors.Is(err, io.EOF) {
 		a.ended = true
 	}
-	return n, err
+	return n, a.conn.in.explain(err)
+}
+
+// BytesRead returns how many bytes of the answer have come.
+func (a *Answer) BytesRead() int64 { return a.conn.in.read }
+
+// Drain reads the rest of an answer that nobody gets, if it is short and there, so that
+// the connection can be kept.
+func (a *Answer) Drain() error {
+	if err := a.conn.SetReadDeadline(time.Now().Add(maxDrainTime)); err != nil {
+		return errors.WithStack(err)
+	}
+	a.conn.in.bound(ExcessDrain, maxDrainBytes)
+	if _, err := io.Copy(io.Discard, a); err != nil {
+		return err
+	}
+	return errors.WithStack(a.conn.SetReadDeadline(time.Time{}))
 }
 
 // Close ends the exchange. The connection is kept, for keepAlive if that is known,
--- /dev/null
+++ b/internal/upstream/endless_test.go
@@ -0,0 +1,245 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/upstream"
+)
+
+const (
+	// enough is what a server sends here that would send without end.
+	enough = 32 << 20
+	// tolerated is what it may get rid of before its connection is closed: the limits and
+	// the buffers of the two sockets.
+	tolerated = 12 << 20
+)
+
+// server answers the requests of one connection with what play writes, and returns its
+// address and the number of bytes that it got rid of.
+func server(t *testing.T, play func(id string, conn *countingConn)) (string, <-chan int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	sent := make(chan int64, 1)
+	go func() {
+		raw, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer raw.Close()
+		conn := &countingConn{Conn: raw}
+		reader := bufio.NewReader(raw)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				break
+			}
+			play(request.Header.Get("Id"), conn)
+		}
+		sent <- conn.sent
+	}()
+	return listener.Addr().String(), sent
+}
+
+type countingConn struct {
+	net.Conn
+	sent int64
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent += int64(n)
+	return n, err
+}
+
+// repeat writes a text until the connection is closed, or enough.
+func repeat(conn *countingConn, text string) {
+	block := strings.Repeat(text, max(1, 4096/len(text)))
+	for conn.sent < enough {
+		if _, err := io.WriteString(conn, block); err != nil {
+			return
+		}
+	}
+}
+
+func ask(t *testing.T, client *upstream.Client, address string) (*upstream.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	return client.Do(ctx, "one", address, &upstream.Request{
+		ID: "r1", Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {"r1"}},
+	})
+}
+
+func newClient(t *testing.T) *upstream.Client {
+	client := upstream.New(upstream.Options{IDOf: func(h http.Header) string { return h.Get("Id") }})
+	t.Cleanup(client.CloseIdle)
+	return client
+}
+
+// Bytes without end in place of a head filled the memory of the process.
+func TestHeadWithoutEndIsLeft(t *testing.T) {
+	for name, one := range map[string]struct {
+		begin, repeat string
+		kind          upstream.ExcessKind
+	}{
+		"status line":    {"HTTP/1.1 200 ", "O", upstream.ExcessHead},
+		"header line":    {"HTTP/1.1 200 OK\r\nX: ", "y", upstream.ExcessHead},
+		"header name":    {"HTTP/1.1 200 OK\r\n", "y", upstream.ExcessHead},
+		"folded header":  {"HTTP/1.1 200 OK\r\nX: y\r\n", " y\r\n", upstream.ExcessHead},
+		"headers":        {"HTTP/1.1 200 OK\r\n", "X: y\r\n", upstream.ExcessHead},
+		"interim heads":  {"", "HTTP/1.1 100 Continue\r\n\r\n", upstream.ExcessInterim},
+		"interim header": {"HTTP/1.1 103 Early Hints\r\n", "X: y\r\n", upstream.ExcessHead},
+		"no answer":      {"", "x", upstream.ExcessHead},
+		"zeros":          {"", "\x00", upstream.ExcessHead},
+		"stray answers":  {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx", upstream.ExcessStray},
+		"stray body":     {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 99999999\r\n\r\n", "x", upstream.ExcessStray},
+		"stray chunks":   {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", upstream.ExcessStray},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			address, sent := server(t, func(_ string, conn *countingConn) {
+				_, _ = io.WriteString(conn, one.begin)
+				repeat(conn, one.repeat)
+			})
+			began := time.Now()
+			_, err := ask(t, newClient(t), address)
+			c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
+			var broken *upstream.BrokenError
+			c.Assert(errors.As(err, &broken), qt.IsTrue)
+			c.Assert(<-sent < tolerated, qt.IsTrue)
+			var excess *upstream.ExcessError
+			c.Assert(errors.As(err, &excess), qt.IsTrue, qt.Commentf("%v", err))
+			c.Assert(excess.Kind, qt.Equals, one.kind)
+			c.Assert(excess.Limit > 0, qt.IsTrue)
+		})
+	}
+}
+
+// Lines that are no head at all end the exchange at the first of them.
+func TestLinesThatAreNoHeadAreLeft(t *testing.T) {
+	c := qt.New(t)
+	address, sent := server(t, func(_ string, conn *countingConn) { repeat(conn, "no answer\r\n") })
+	_, err := ask(t, newClient(t), address)
+	var malformed *upstream.MalformedError
+	c.Assert(errors.As(err, &malformed), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(<-sent < tolerated, qt.IsTrue)
+}
+
+// An error carries some of the bytes that came, not all: it goes into a log line.
+func TestErrorOfALongLineIsShort(t *testing.T) {
+	c := qt.New(t)
+	address, _ := server(t, func(_ string, conn *countingConn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+strings.Repeat("y", 8<<10)+"\r\n\r\n")
+	})
+	_, err := ask(t, newClient(t), address)
+	c.Assert(err, qt.ErrorMatches, "connection to .* broke: answer: bytes that are no answer: .*")
+	c.Assert(len(err.Error()) < 300, qt.IsTrue)
+}
+
+// A body may be long: whoever reads it bounds it. Its framing may not.
+func TestFramingWithoutEndIsLeft(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, one := range map[string]struct{ begin, repeat string }{
+		"chunk header":     {"", "0"},
+		"chunk extension":  {"1;x=", "y"},
+		"chunk extensions": {"", "1;xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\ny\r\n"},
+		"trailer line":     {"0\r\nX: ", "y"},
+		"trailers":         {"0\r\n", "X: y\r\n"},
+		"chunk of text":    {"", "no chunk\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			address, sent := server(t, func(_ string, conn *countingConn) {
+				_, _ = io.WriteString(conn, chunked+one.begin)
+				repeat(conn, one.repeat)
+			})
+			answer, err := ask(t, newClient(t), address)
+			c.Assert(err, qt.IsNil)
+			_, err = io.Copy(io.Discard, answer)
+			answer.Close(time.Minute)
+			var malformed *upstream.MalformedError
+			c.Assert(errors.As(err, &malformed), qt.IsTrue, qt.Commentf("%v", err))
+			c.Assert(<-sent < tolerated, qt.IsTrue)
+		})
+	}
+}
+
+// Bytes after a whole answer belong to no request: the answer counts, the connection
+// is closed and the next request gets another one.
+func TestBytesAfterAWholeAnswerCloseTheConnection(t *testing.T) {
+	c := qt.New(t)
+	address, sent := server(t, func(id string, conn *countingConn) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 5\r\n\r\nhello", id)
+		repeat(conn, "x")
+	})
+	client := newClient(t)
+	answer, err := ask(t, client, address)
+	c.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(answer)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(body), qt.Equals, "hello")
+	answer.Close(time.Minute)
+	time.Sleep(50 * time.Millisecond)
+	// The server is busy with its bytes and takes no other connection, so that a
+	// request on the old one would fail with its bytes in place of an answer.
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err = client.Do(ctx, "one", address, &upstream.Request{ID: "r2", Method: "GET", Target: "/", Host: "h"})
+	c.Assert(errors.Is(err, context.DeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(<-sent < tolerated, qt.IsTrue)
+}
+
+// A head that is large, and interim heads before it, are still an answer.
+func TestLargeHeadIsRead(t *testing.T) {
+	c := qt.New(t)
+	address, _ := server(t, func(id string, conn *countingConn) {
+		fmt.Fprintf(conn, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+
+			"HTTP/1.1 200 OK\r\nId: %s\r\nX: %s\r\nContent-Length: 100000\r\n\r\n%s", id, strings.Repeat("y", 8<<10), strings.Repeat("z", 100000))
+	})
+	answer, err := ask(t, newClient(t), address)
+	c.Assert(err, qt.IsNil)
+	n, err := io.Copy(io.Discard, answer)
+	c.Assert(err, qt.IsNil)
+	c.Assert(n, qt.Equals, int64(100000))
+	answer.Close(time.Minute)
+}
+
+// An answer that nobody gets is read to its end only while that is short.
+func TestDrainEndsWithItsLimits(t *testing.T) {
+	for name, text := range map[string]string{"flood": strings.Repeat("x", 4096), "drip": "x"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			address, sent := server(t, func(id string, conn *countingConn) {
+				fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nId: %s\r\n\r\n", id)
+				for conn.sent < enough {
+					if _, err := io.WriteString(conn, text); err != nil {
+						return
+					}
+					if len(text) == 1 {
+						time.Sleep(10 * time.Millisecond)
+					}
+				}
+			})
+			answer, err := ask(t, newClient(t), address)
+			c.Assert(err, qt.IsNil)
+			began := time.Now()
+			c.Assert(answer.Drain(), qt.Not(qt.IsNil))
+			answer.Close(time.Minute)
+			c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+			c.Assert(<-sent < tolerated, qt.IsTrue)
+		})
+	}
+}
