Add a budget for the bytes that a process holds for its requests

Bodies of callers and answers that are held whole had a limit each, and none together. The budget gives each holder 16 KiB as long as there is any, and beyond that half of what is left after it, so that many holders of bytes without end leave room for others. Buffers grow with the bytes that came, not with the length that was announced.

--- /dev/null
+++ b/internal/membudget/membudget.go
@@ -0,0 +1,141 @@
+// Package membudget owns the bytes that a process may hold for all its requests
+// together: bodies of callers and answers that are held whole. It must not decide what
+// becomes of a request that gets none.
+package membudget
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// fairFrom is what one holder may have however little is free, in bytes: most bodies
+	// and answers are smaller, and a few large ones must not keep them out.
+	fairFrom = 16 << 10
+	// greedyPart is the part of what is left that one holder may have: N holders of bytes
+	// without end leave one part in N/2+1 to others.
+	greedyPart = 0.5
+	// firstBuffer is the first buffer of a body of unknown length.
+	firstBuffer = 4 << 10
+	// smallStep is the part of a buffer by which it grows where it can't double.
+	smallStep = 4
+	// trustedLength is the announced length up to which a body gets its whole buffer before
+	// its bytes have come.
+	trustedLength = 64 << 10
+)
+
+// ExhaustedError says that there are no bytes left for a holder.
+type ExhaustedError struct {
+	// Asked is what the holder wanted besides Held; Used is what all hold, of Total.
+	Asked, Held, Used, Total int64
+}
+
+func (e *ExhaustedError) Error() string {
+	return fmt.Sprintf("no memory for %d bytes beside %d: %d of %d are held", e.Asked, e.Held, e.Used, e.Total)
+}
+
+// TooLargeError says that a body is longer than it may be.
+type TooLargeError struct{ Limit int64 }
+
+func (e *TooLargeError) Error() string { return fmt.Sprintf("more than %d bytes", e.Limit) }
+
+// Budget is what all holders share. It is safe for concurrent use.
+type Budget struct {
+	total int64
+
+	mu   sync.Mutex
+	used int64
+}
+
+// New returns a budget of some bytes.
+func New(total int64) *Budget { return &Budget{total: total} }
+
+// Used returns how many bytes are held.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Hold returns a holder without bytes.
+func (b *Budget) Hold() *Hold { return &Hold{budget: b} }
+
+// Hold is what one request holds. It is used by one goroutine.
+type Hold struct {
+	budget *Budget
+	held   int64
+}
+
+// Take adds bytes to a holder. Beyond fairFrom it may have a part of what is left after
+// it, so that greedy holders leave some to others. It fails with *ExhaustedError.
+func (h *Hold) Take(n int64) error {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := b.total - b.used - n
+	if left < 0 || (h.held+n > fairFrom && float64(h.held+n) > greedyPart*float64(left)) {
+		return errors.WithStack(&ExhaustedError{Asked: n, Held: h.held, Used: b.used, Total: b.total})
+	}
+	b.used += n
+	h.held += n
+	return nil
+}
+
+// Release gives back all that a holder has.
+func (h *Hold) Release() {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.budget.used -= h.held
+	h.held = 0
+}
+
+// ReadAll reads a body to its end into bytes of the holder. Length is what it is
+// announced to have, if positive; limit bounds it, if positive. Beside the reader's
+// errors it fails with *TooLargeError or *ExhaustedError.
+func (h *Hold) ReadAll(r io.Reader, length, limit int64) ([]byte, error) {
+	if limit > 0 && length > limit {
+		return nil, errors.WithStack(&TooLargeError{Limit: limit})
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := int64(cap(body))
+			grown := nextSize(size, length, limit)
+			if h.Take(grown-size) != nil {
+				// A smaller step may still do.
+				grown = min(grown, size+max(size/smallStep, firstBuffer))
+				if err := h.Take(grown - size); err != nil {
+					return nil, err
+				}
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if limit > 0 && int64(len(body)) > limit {
+			return nil, errors.WithStack(&TooLargeError{Limit: limit})
+		}
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// nextSize returns the next size of a buffer. The byte beyond length or limit is for
+// the end of the body.
+func nextSize(size, length, limit int64) int64 {
+	next := max(2*size, firstBuffer)
+	if length > 0 && size <= length {
+		next = min(max(next, trustedLength), length+1)
+	}
+	if limit > 0 {
+		next = min(next, limit+1)
+	}
+	return next
+}
--- /dev/null
+++ b/internal/membudget/membudget_test.go
@@ -0,0 +1,92 @@
+package membudget_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/membudget"
+)
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+func TestWholeBodiesAreRead(t *testing.T) {
+	for _, size := range []int{0, 1, 4095, 4096, 4097, 70_000, 1 << 20} {
+		want := bytes.Repeat([]byte("x"), size)
+		for _, length := range []int64{-1, int64(size)} {
+			for _, limit := range []int64{0, int64(size), 4 << 20} {
+				c := qt.New(t)
+				budget := membudget.New(16 << 20)
+				hold := budget.Hold()
+				got, err := hold.ReadAll(iotest.HalfReader(bytes.NewReader(want)), length, limit)
+				c.Assert(err, qt.IsNil)
+				c.Assert(bytes.Equal(got, want), qt.IsTrue)
+				c.Assert(budget.Used() >= int64(size), qt.IsTrue)
+				hold.Release()
+				c.Assert(budget.Used(), qt.Equals, int64(0))
+			}
+		}
+	}
+}
+
+func TestBodyBeyondItsLimitIsLeft(t *testing.T) {
+	c := qt.New(t)
+	var large *membudget.TooLargeError
+	_, err := membudget.New(1<<20).Hold().ReadAll(strings.NewReader("12345"), -1, 4)
+	c.Assert(errors.As(err, &large), qt.IsTrue)
+	_, err = membudget.New(1<<20).Hold().ReadAll(nil, 5, 4)
+	c.Assert(errors.As(err, &large), qt.IsTrue)
+	_, err = membudget.New(64<<20).Hold().ReadAll(endless{}, -1, 8<<20)
+	c.Assert(errors.As(err, &large), qt.IsTrue)
+}
+
+// A body that breaks off must not look whole.
+func TestBrokenBodyIsNoBody(t *testing.T) {
+	c := qt.New(t)
+	_, err := membudget.New(1<<20).Hold().ReadAll(io.MultiReader(strings.NewReader("half"), iotest.ErrReader(io.ErrUnexpectedEOF)), 10, 0)
+	c.Assert(errors.Is(err, io.ErrUnexpectedEOF), qt.IsTrue)
+}
+
+// An announced length that never comes must not take the budget.
+func TestAnnouncedLengthTakesNothingInAdvance(t *testing.T) {
+	c := qt.New(t)
+	budget := membudget.New(64 << 20)
+	_, err := budget.Hold().ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), 8<<20, 0)
+	c.Assert(err, qt.Not(qt.IsNil))
+	c.Assert(budget.Used() <= 128<<10, qt.IsTrue)
+}
+
+// Many holders of bytes without end at the same time leave room for small ones, and
+// the whole is never exceeded.
+func TestEndlessHoldersLeaveRoomForOthers(t *testing.T) {
+	c := qt.New(t)
+	const total = 16 << 20
+	budget := membudget.New(total)
+	greedy := make([]*membudget.Hold, 300)
+	for i := range greedy {
+		greedy[i] = budget.Hold()
+	}
+	for more := true; more; {
+		more = false
+		for _, hold := range greedy {
+			more = hold.Take(4096) == nil || more
+			c.Assert(budget.Used() <= total, qt.IsTrue)
+		}
+	}
+	for range 20 {
+		_, err := budget.Hold().ReadAll(strings.NewReader(strings.Repeat("x", 4000)), -1, 8<<20)
+		c.Assert(err, qt.IsNil, qt.Commentf("%d held", budget.Used()))
+	}
+	for _, hold := range greedy {
+		hold.Release()
+	}
+	_, err := budget.Hold().ReadAll(strings.NewReader(strings.Repeat("x", 4<<20)), -1, 8<<20)
+	c.Assert(err, qt.IsNil)
+}
