Bound bodies and streams of backend servers, and what a process holds

What callers saw: nothing yet; by reading, and by the new tests on the code before. A stream of blank lines, comments or unknown fields counted as a stream that goes on: a resumable one was not taken elsewhere and a caller waited until its deadline. Events without numbers, the same event over and over, or events past the tokens that were asked for were passed on without end. Bodies of callers (max_body_bytes each), answers (8 MiB each) and events (1 MiB each) were bounded one by one only: some 20 of them fill an entry of 134 MB.

Cause: eventReader took a blank line for an event, the stall watch any event for progress; relay.inOrder let everything without a number pass; no bound over all requests.

Change: - an event has an id or data; what is neither waits for the next event, within the bound of one event (64 KiB instead of 1 MiB), and isn't progress. A long line whose end fell on the edge of the read buffer ended its event early; it doesn't now. - a stream may have one event for each token that was asked for and 16 more; after it has had a number, 4 events in a row without one. Past what was asked it is cut, and nobody else is asked to go on with it. - bodies, answers and events come from one budget (internal/membudget), a fifth of the memory of the settings. A caller's body that it has no room for is refused (503 with Retry-After, not run); an answer is no answer (502 where it may have run, another server where it may be repeated). - the "send" line says which bytes made a send fail: bad_bytes, read, limit; lagoonlane_gateway_bad_bytes counts by kind, lagoonlane_gateway_held shows the budget's use. Bytes after a whole answer are told the same way.

Weighed: passing plain answers through instead of holding them. A failure could then not be tried again elsewhere once its head is out, and a break could only be shown as a cut connection, where it is a 502 now; answers of plain services are some KiB. They stay held.

--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -33,6 +33,9 @@
 const (
 	// memoryPart is the part of the machine's memory that the garbage collector keeps to.
 	memoryPart = 0.6
+	// heldPart is the part of the machine's memory for bodies and answers that are held
+	// whole: what is left of memoryPart serves connections, buffers and configuration.
+	heldPart = 0.2
 	// configurationWaitPart and serversWaitPart are how long one read of the store waits
 	// for news, in parts of the bounds on configuration changes and on draining: a
 	// connection that went silent is found within the rest.
@@ -243,7 +246,8 @@
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
 		},
-		Logger: n.logger, Meter: n.metrics.Meter,
+		HeldBytes: int64(heldPart * float64(n.settings.MemoryBytes)),
+		Logger:    n.logger, Meter: n.metrics.Meter,
 	})
 	return e, err
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
 
@@ -47,6 +48,8 @@
 	service     string
 	engine      *fleet.Engine
 	account     *fleet.Account
+	// hold is the memory of the request: its body, and its answer while that is held.
+	hold *membudget.Hold
 }
 
 // rank returns the tier of the request among all: the account's rank takes precedence
@@ -100,7 +103,7 @@
 
 // accept checks a request and reads its body. The call it returns is never nil.
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request) (*call, *Failure) {
-	one := &call{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, arrived: steady.Now()}
+	one := &call{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, arrived: steady.Now(), hold: g.held.Hold()}
 	if len(one.target) == 0 || one.target[0] != '/' {
 		one.target = r.URL.RequestURI()
 	}
@@ -126,7 +129,7 @@
 	if patience := one.info.Patience; one.info.HasPatience && patience < one.route.Timeout {
 		one.deadline = one.arrived.Add(patience)
 	}
-	body, failure := readBody(w, r, manifest.Limits.MaxBodyBytes)
+	body, failure := readBody(w, r, manifest.Limits.MaxBodyBytes, one.hold)
 	one.body = body
 	return one, failure
 }
@@ -188,7 +191,7 @@
 }
 
 // readBody reads a whole body of at most limit bytes; 0 is unlimited.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *Failure) {
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, hold *membudget.Hold) ([]byte, *Failure) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -200,20 +203,16 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limit)
 	}
-	var body []byte
-	var err error
-	if r.ContentLength > 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(reader, body)
-	} else {
-		body, err = io.ReadAll(reader)
-	}
+	body, err := hold.ReadAll(reader, r.ContentLength, 0)
 	var over *http.MaxBytesError
+	var exhausted *membudget.ExhaustedError
 	switch {
 	case err == nil:
 		return body, nil
 	case errors.As(err, &over):
 		return nil, tooLarge
+	case errors.As(err, &exhausted):
+		return nil, unavailable(KindOverloaded, staleRetryAfter, "this process is short of memory for the body: "+exhausted.Error())
 	case r.Context().Err() != nil:
 		return nil, refusal(KindCallerLeft, http.StatusBadRequest, "the caller left while it sent the body")
 	}
--- /dev/null
+++ b/internal/gateway/endless_stream_test.go
@@ -0,0 +1,208 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// endlessStream passes some events on, then bytes without end that are none. They come
+// in chunks, at full speed or one chunk in each pause.
+type endlessStream struct {
+	events        int
+	begin, repeat string
+	pause         time.Duration
+	calls, closed atomic.Int64
+}
+
+func (e *endlessStream) serve(request *http.Request, conn net.Conn) {
+	e.calls.Add(1)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s1\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+	block := strings.Repeat(e.repeat, 1+4096/len(e.repeat))
+	if e.pause > 0 {
+		block = e.repeat
+	}
+	text := ""
+	for i := 1; i <= e.events; i++ {
+		text += fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+	}
+	if text += e.begin; text == "" {
+		text = block
+	}
+	for sent := 0; sent < enough; sent += len(text) {
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text); err != nil {
+			e.closed.Add(1)
+			return
+		}
+		text = block
+		time.Sleep(e.pause)
+	}
+}
+
+// streamPatterns are bytes without end that complete no event.
+func streamPatterns() map[string]*endlessStream {
+	return map[string]*endlessStream{
+		"line":           {repeat: "x"},
+		"event":          {begin: "id: 3\n", repeat: "data: x\n"},
+		"event line":     {begin: "id: 3\ndata: ", repeat: "x"},
+		"blank lines":    {repeat: "\n"},
+		"comments":       {repeat: ": still here\n\n"},
+		"comment line":   {begin: ":", repeat: "x"},
+		"unknown fields": {repeat: "x: y\n\n"},
+	}
+}
+
+// An event that never ends, or bytes that are no events, are left at a limit, and the
+// stream goes on at another server.
+func TestStreamWithoutEventsGoesOnElsewhere(t *testing.T) {
+	for name, one := range streamPatterns() {
+		for _, before := range []int{0, 2} {
+			for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
+				t.Run(fmt.Sprint(name, " ", before, " ", pause), func(t *testing.T) {
+					t.Parallel()
+					bad := &endlessStream{events: before, begin: one.begin, repeat: one.repeat, pause: pause}
+					s := func(request *http.Request, conn net.Conn) {
+						if bad.calls.Load() == 0 {
+							bad.serve(request, conn)
+							return
+						}
+						events(request, conn, before+1, 3, false)
+					}
+					w := newWorld(t, s, s)
+					began := time.Now()
+					_, body, err := w.call("POST", "/resumable/x", "p")
+					w.c.Assert(err, qt.IsNil)
+					w.c.Assert(body, qt.Equals, threeEvents)
+					w.c.Assert(time.Since(began) < prompt, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+				})
+			}
+		}
+	}
+}
+
+// Where nobody else may go on, the caller of a stream learns at once that it has no end.
+func TestStreamWithoutEventsIsCut(t *testing.T) {
+	for name, one := range streamPatterns() {
+		for _, before := range []int{0, 2} {
+			t.Run(fmt.Sprint(name, " ", before), func(t *testing.T) {
+				bad := &endlessStream{events: before, begin: one.begin, repeat: one.repeat}
+				w := newWorld(t, bad.serve)
+				began := time.Now()
+				response, _, err := w.call("POST", "/stream/x", "p")
+				w.c.Assert(time.Since(began) < prompt, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+				if before > 0 {
+					w.c.Assert(err, qt.Not(qt.IsNil))
+				} else {
+					w.c.Assert(err, qt.IsNil)
+					w.c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+				}
+				w.c.Assert(bad.calls.Load(), qt.Equals, int64(1))
+			})
+		}
+	}
+}
+
+// streamOf answers with events made of a number each, from 1 on, until its connection
+// is closed or it has sent many.
+func streamOf(sent *atomic.Int64, format string) serve {
+	return func(request *http.Request, conn net.Conn) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s1\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+		for i := 1; i < 1_000_000; i++ {
+			text := fmt.Sprintf(strings.ReplaceAll(format, "N", "%[1]d"), i)
+			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text); err != nil {
+				return
+			}
+			sent.Store(int64(i))
+		}
+		fmt.Fprint(conn, "0\r\n\r\n")
+	}
+}
+
+// A stream that goes on past the tokens that were asked for is cut soon after them, and
+// nobody else is asked to go on with it.
+func TestStreamPastWhatWasAskedIsCut(t *testing.T) {
+	for name, format := range map[string]string{
+		"numbered":   "id: N\ndata: x\n\n",
+		"unnumbered": "data: N\n\n",
+		"repeated":   "id: 1\ndata: N\n\n",
+		"words":      "id: aN\ndata: x\n\n",
+	} {
+		for _, path := range []string{"/stream/x", "/resumable/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				var sent atomic.Int64
+				var calls atomic.Int64
+				s := func(request *http.Request, conn net.Conn) { calls.Add(1); streamOf(&sent, format)(request, conn) }
+				w := newWorld(t, s, s)
+				request, err := http.NewRequest("POST", w.front.URL+path, strings.NewReader("p"))
+				w.c.Assert(err, qt.IsNil)
+				for key, value := range map[string]string{"Id": fmt.Sprint("r", requestNumber.Add(1)), "Key": "key", "Tokens": "50"} {
+					request.Header.Set(key, value)
+				}
+				began := time.Now()
+				response, err := http.DefaultClient.Do(request)
+				var body []byte
+				if err == nil {
+					body, err = io.ReadAll(response.Body)
+					response.Body.Close()
+				}
+				// Only a connection that breaks off says that the stream isn't whole.
+				w.c.Assert(err, qt.Not(qt.IsNil))
+				w.c.Assert(time.Since(began) < prompt, qt.IsTrue)
+				w.c.Assert(strings.Count(string(body), "data:") <= 66, qt.IsTrue)
+				w.c.Assert(calls.Load(), qt.Equals, int64(1))
+			})
+		}
+	}
+}
+
+// Events without a number after one that has one are a few at most, such as a closing one.
+func TestStreamThatGoesOnWithoutNumbersIsCut(t *testing.T) {
+	var calls atomic.Int64
+	more := 2
+	s := func(request *http.Request, conn net.Conn) {
+		calls.Add(1)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s1\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+		text := "id: 1\ndata: x\n\n" + strings.Repeat("data: done\n\n", more)
+		fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(text), text)
+	}
+	w := newWorld(t, s)
+	_, body, err := w.call("POST", "/stream/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(strings.Count(body, "done"), qt.Equals, 2)
+	more = 100
+	_, _, err = w.call("POST", "/stream/x", "p")
+	w.c.Assert(err, qt.Not(qt.IsNil))
+}
+
+// Comments and blank lines between events, and after the last, are passed on as they came.
+func TestCommentsArePassedOn(t *testing.T) {
+	text := ": hello\n\n\nid: 1\n: inside\ndata: a\n\n: between\n\nid: 2\ndata: b\r\n\r\n: bye\n\n"
+	w := newWorld(t, func(request *http.Request, conn net.Conn) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s1\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+		fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(text), text)
+	})
+	_, body, err := w.call("POST", "/stream/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(body, qt.Equals, text)
+}
+
+// A line longer than the buffer is a part of its event, whatever its length.
+func TestLongLineIsOneLine(t *testing.T) {
+	for size := 4080; size < 4110; size++ {
+		text := "id: 1\ndata: " + strings.Repeat("x", size) + "\n\nid: 2\ndata: b\n\n"
+		w := newWorld(t, func(request *http.Request, conn net.Conn) {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s1\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+			fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(text), text)
+		})
+		_, body, err := w.call("POST", "/stream/x", "p")
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(body, qt.Equals, text)
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
@@ -48,12 +49,17 @@
 type AnswerError struct {
 	Status  int
 	Problem string
+	// Cause is why its end was not read; may be nil.
+	Cause error
 }
 
 func (e *AnswerError) Error() string {
 	return fmt.Sprintf("answer with status %d: %s", e.Status, e.Problem)
 }
 
+// Unwrap returns the cause.
+func (e *AnswerError) Unwrap() error { return e.Cause }
+
 // exchange sends a request and relays its answer.
 func (g *Gateway) exchange(ctx context.Context, one *call, p *progress, at *placement) sendResult {
 	request := &upstream.Request{
@@ -87,7 +93,12 @@
 		return sendResult{verdict: verdictFailed, err: err}
 	}
 	info := g.options.Codec.DecodeAnswer(answer.Header)
-	defer func() { answer.Close(info.KeepAlive) }()
+	defer func() {
+		if err := answer.Close(info.KeepAlive); err != nil {
+			g.logger.Info().Str("request_id", one.info.ID).Str("backend_server", at.server.ID).
+				Func(g.describeBad(one, err)).Msg("bytes after an answer; the connection is closed")
+		}
+	}()
 	result := g.judge(one, p, answer, info, sent, stall)
 	result.load, result.hasLoad = info.Load, info.HasLoad
 	return result
@@ -104,12 +115,9 @@
 	case success && (!info.Stamped || info.Encoded || info.RequestID != one.info.ID):
 		return g.discard(answer, verdictFailed, "not the backend server's own answer to this request")
 	case success && one.stream():
-		return g.relayEvents(p, answer, sent, stall)
-	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		err = &AnswerError{Status: answer.Status, Problem: "the body is too large"}
+		return g.relayEvents(one, p, answer, sent, stall)
 	}
+	body, err := readAnswer(one, answer)
 	if err != nil {
 		return sendResult{verdict: verdictFailed, err: errors.Wrap(err, "answer's body")}
 	}
@@ -141,36 +149,54 @@
 // discard reads an answer that isn't passed on, if it is short, so that its connection
 // can be kept.
 func (g *Gateway) discard(answer *upstream.Answer, v verdict, why string) sendResult {
-	if err := answer.Drain(); err != nil {
-		g.logger.Debug().Err(err).Msg("an answer that is not passed on has no end in time; its connection is closed")
+	return sendResult{verdict: v, err: &AnswerError{Status: answer.Status, Problem: why, Cause: answer.Drain()}}
+}
+
+// readAnswer reads the body of an answer that is held whole.
+func readAnswer(one *call, answer *upstream.Answer) ([]byte, error) {
+	body, err := one.hold.ReadAll(answer, answer.Length, maxReplyBytes)
+	var large *membudget.TooLargeError
+	if errors.As(err, &large) {
+		return nil, errors.WithStack(&upstream.ExcessError{Kind: upstream.ExcessBody, Read: answer.BytesRead(), Limit: large.Limit})
 	}
-	return sendResult{verdict: v, err: &AnswerError{Status: answer.Status, Problem: why}}
+	return body, err
 }
 
 // relayEvents passes the events of a stream on as they come.
-func (g *Gateway) relayEvents(p *progress, answer *upstream.Answer, sent time.Time, stall *stallWatch) sendResult {
+func (g *Gateway) relayEvents(one *call, p *progress, answer *upstream.Answer, sent time.Time, stall *stallWatch) sendResult {
 	result := sendResult{verdict: verdictFailed}
 	p.relay.open(answer.Status, answer.Header)
-	events := newEventReader(answer)
+	events := newEventReader(answer, one.hold)
+	limit := one.maxEvents()
 	last := time.Time{}
-	for {
+	for read := 1; ; read++ {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
+		if err == nil && limit > 0 && max(read, p.relay.events+1) > limit && !event.empty {
+			p.overrun = true
+			err = errors.WithStack(&upstream.ExcessError{Kind: upstream.ExcessEvents, Read: int64(read), Limit: int64(limit)})
+		}
 		if err != nil {
 			result.err = err
 			return result
 		}
-		stall.progress()
-		now := time.Now()
-		if result.events++; result.firstEvent == 0 {
-			result.firstEvent = now.Sub(sent)
-		} else {
-			p.longestPause = max(p.longestPause, now.Sub(last))
+		news, err := p.relay.inOrder(event)
+		if news == newsFresh {
+			stall.progress()
+			now := time.Now()
+			if result.events++; result.firstEvent == 0 {
+				result.firstEvent = now.Sub(sent)
+			} else {
+				p.longestPause = max(p.longestPause, now.Sub(last))
+			}
+			last = now
+		}
+		if err == nil && news != newsNone {
+			err = p.relay.event(event, events.buffered() > 0)
 		}
-		last = now
-		if err := p.relay.event(event, events.buffered() > 0); err != nil {
+		if err != nil {
 			result.err = err
 			return result
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
@@ -24,6 +26,8 @@
 	shortCall = 1500 * time.Millisecond
 	// cautiousTokenTime is the time for one output token at a slow engine.
 	cautiousTokenTime = 10 * time.Millisecond
+	// defaultHeldBytes is for processes that don't know how much memory they have.
+	defaultHeldBytes = 256 << 20
 )
 
 // Bounds are the limits that the deployment sets.
@@ -51,8 +55,11 @@
 	Entries func() int
 	Limits  *limit.Pool
 	Bounds  Bounds
-	Logger  zerolog.Logger
-	Meter   metric.Meter
+	// HeldBytes bounds the bodies and answers that are held for all requests together; 0
+	// means defaultHeldBytes.
+	HeldBytes int64
+	Logger    zerolog.Logger
+	Meter     metric.Meter
 }
 
 // Gateway serves callers. It is an http.Handler.
@@ -62,6 +69,7 @@
 	metrics *metrics
 	servers *serverTable
 	retries *retryBudget
+	held    *membudget.Budget
 	// leaving is when every call must have ended (Unix nanoseconds of the wall clock);
 	// 0: the gateway isn't leaving.
 	leaving atomic.Int64
@@ -74,9 +82,10 @@
 		logger:  options.Logger,
 		servers: newServerTable(options.DataCentre),
 		retries: newRetryBudget(options.Bounds.Retries),
+		held:    membudget.New(cmp.Or(options.HeldBytes, defaultHeldBytes)),
 	}
 	var err error
-	g.metrics, err = newMetrics(options.Meter, g.delay)
+	g.metrics, err = newMetrics(options.Meter, g.delay, g.held.Used)
 	return g, err
 }
 
@@ -119,6 +128,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	one, failure := g.accept(w, r)
+	defer one.hold.Release()
 	if failure == nil {
 		failure = g.mayFinish(one)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,6 +34,9 @@
 	if ms, err := strconv.Atoi(h.Get("Patience")); err == nil {
 		info.Patience, info.HasPatience = time.Duration(ms)*time.Millisecond, true
 	}
+	if tokens, err := strconv.Atoi(h.Get("Tokens")); err == nil {
+		info.MaxOutputTokens, info.HasTokens = tokens, true
+	}
 	return info, nil
 }
 
@@ -78,6 +81,11 @@
 
 // newAgedWorld returns a world whose configuration was confirmed some time ago.
 func newAgedWorld(t *testing.T, age time.Duration, servers ...serve) *world {
+	return newWorldWith(t, age, func(*gateway.Options) {}, servers...)
+}
+
+// newWorldWith returns a world whose gateway has other options.
+func newWorldWith(t *testing.T, age time.Duration, change func(*gateway.Options), servers ...serve) *world {
 	c := qt.New(t)
 	w := &world{c: c, age: age, late: &lateness{}, holder: &fleet.Holder{}, dir: fleet.NewDirectory()}
 	for i, s := range servers {
@@ -87,8 +95,7 @@
 	w.manifest(1, "key")
 	client := upstream.New(upstream.Options{IDOf: func(h http.Header) string { return h.Get("Id") }})
 	t.Cleanup(client.CloseIdle)
-	var err error
-	w.gateway, err = gateway.New(gateway.Options{
+	options := gateway.Options{
 		Codec: codec{}, Manifest: w.holder, Directory: w.dir, Upstream: client,
 		Slots: slots.NewClient(nil), SlotAddress: func(fleet.Server) string { return "" },
 		Lateness: w.late, Entries: func() int { return 1 }, Limits: limit.NewPool(time.Now()),
@@ -97,7 +104,10 @@
 			Retries: gateway.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
 		},
 		Logger: zerolog.Nop(),
-	})
+	}
+	change(&options)
+	var err error
+	w.gateway, err = gateway.New(options)
 	c.Assert(err, qt.IsNil)
 	w.front = httptest.NewServer(w.gateway)
 	t.Cleanup(w.front.Close)
--- /dev/null
+++ b/internal/gateway/memory_test.go
@@ -0,0 +1,84 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lagoonlane/lagoonlane/internal/gateway"
+)
+
+// A body that the process has no memory for is refused before it runs, with a time to
+// come back; others are served.
+func TestBodyWithoutMemoryIsRefused(t *testing.T) {
+	var calls atomic.Int64
+	w := newWorldWith(t, 0, func(o *gateway.Options) { o.HeldBytes = 64 << 10 }, func(request *http.Request, conn net.Conn) {
+		calls.Add(1)
+		whole(200, "hello")(request, conn)
+	})
+	for range 3 {
+		response, body, err := w.call("POST", "/unsafe/x", strings.Repeat("x", 60<<10))
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		w.c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		w.c.Assert(body, qt.Contains, `"outcome":"not-run"`)
+		w.c.Assert(calls.Load(), qt.Equals, int64(0))
+	}
+	for range 20 {
+		response, _, err := w.call("POST", "/unsafe/x", strings.Repeat("x", 8<<10))
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(response.StatusCode, qt.Equals, 200)
+	}
+	w.c.Assert(calls.Load(), qt.Equals, int64(20))
+}
+
+// Bodies that callers begin and don't end hold their own bytes only: they can't keep
+// others out by the lengths that they announce.
+func TestUnfinishedBodiesLeaveRoomForOthers(t *testing.T) {
+	w := newWorldWith(t, 0, func(o *gateway.Options) { o.HeldBytes = 1 << 20 }, whole(200, "hello"))
+	address := strings.TrimPrefix(w.front.URL, "http://")
+	for range 40 {
+		conn, err := net.Dial("tcp", address)
+		w.c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST /unsafe/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: slow\r\nKey: key\r\nContent-Length: 65536\r\n\r\nbegun")
+		w.c.Assert(err, qt.IsNil)
+	}
+	for range 20 {
+		response, _, err := w.call("POST", "/unsafe/x", strings.Repeat("x", 8<<10))
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(response.StatusCode, qt.Equals, 200)
+	}
+}
+
+// An answer that the process has no memory for may have run: it is neither passed on
+// in part nor refused.
+func TestAnswerWithoutMemoryIsNoAnswer(t *testing.T) {
+	w := newWorldWith(t, 0, func(o *gateway.Options) { o.HeldBytes = 256 << 10 }, whole(200, strings.Repeat("x", 250<<10)))
+	response, body, err := w.call("POST", "/unsafe/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+	w.c.Assert(body, qt.Contains, `"outcome":"unknown"`)
+	// What was held is given back.
+	w = newWorldWith(t, 0, func(o *gateway.Options) { o.HeldBytes = 256 << 10 }, whole(200, strings.Repeat("x", 60<<10)))
+	for range 20 {
+		response, _, err := w.call("GET", "/safe/x", "")
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(response.StatusCode, qt.Equals, 200)
+	}
+}
+
+// An endless rejection is a rejection: it says in its head that the request has not run.
+func TestEndlessRejectionIsATrueRefusal(t *testing.T) {
+	bad := &endless{begin: "HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\n\r\n", repeat: "x"}
+	w := newWorld(t, bad.serve)
+	response, _, err := w.call("POST", "/unsafe/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	bad.wantClosed(w.c)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,10 +21,11 @@
 	sends      metric.Int64Counter
 	firstEvent metric.Float64Histogram
 	waited     metric.Float64Histogram
+	badBytes   metric.Int64Counter
 	whole      metric.Float64Histogram
 }
 
-func newMetrics(meter metric.Meter, delay func() time.Duration) (*metrics, error) {
+func newMetrics(meter metric.Meter, delay func() time.Duration, held func() int64) (*metrics, error) {
 	if meter == nil {
 		meter = noop.Meter{}
 	}
@@ -36,6 +37,9 @@
 	if m.sends, err = meter.Int64Counter("lagoonlane_gateway_sends", metric.WithDescription("sends to backend servers by verdict")); err != nil {
 		return nil, errors.WithStack(err)
 	}
+	if m.badBytes, err = meter.Int64Counter("lagoonlane_gateway_bad_bytes", metric.WithDescription("exchanges with bytes of backend servers that are no answer or too many, by kind")); err != nil {
+		return nil, errors.WithStack(err)
+	}
 	for name, target := range map[string]*metric.Float64Histogram{
 		"lagoonlane_gateway_first_event": &m.firstEvent,
 		"lagoonlane_gateway_slot_wait":   &m.waited,
@@ -45,19 +49,24 @@
 			return nil, errors.WithStack(err)
 		}
 	}
-	return m, m.observeDelay(meter, delay)
+	return m, m.observe(meter, delay, held)
 }
 
-// observeDelay shows how late this process is.
-func (m *metrics) observeDelay(meter metric.Meter, delay func() time.Duration) error {
-	gauge, err := meter.Float64ObservableGauge("lagoonlane_process_delay", metric.WithUnit("s"))
+// observe shows how late this process is and how much it holds.
+func (m *metrics) observe(meter metric.Meter, delay func() time.Duration, held func() int64) error {
+	late, err := meter.Float64ObservableGauge("lagoonlane_process_delay", metric.WithUnit("s"))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	bytes, err := meter.Int64ObservableGauge("lagoonlane_gateway_held", metric.WithUnit("By"))
 	if err != nil {
 		return errors.WithStack(err)
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		o.ObserveFloat64(gauge, delay().Seconds())
+		o.ObserveFloat64(late, delay().Seconds())
+		o.ObserveInt64(bytes, held())
 		return nil
-	}, gauge)
+	}, late, bytes)
 	return errors.WithStack(err)
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,69 +1,12 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/pkg/errors"
 )
 
-const (
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
-	// eventBuffer holds some events of a stream.
-	eventBuffer = 4 << 10
-)
-
-// event is one event of a stream as it came, with the blank line that ends it.
-type event struct {
-	id   string
-	data []byte
-}
-
-// eventReader splits a stream into its events. Part of an event at the end means
-// that the stream broke off.
-type eventReader struct {
-	reader *bufio.Reader
-}
-
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, eventBuffer)}
-}
-
-// buffered returns how many bytes have come that are not read yet.
-func (e *eventReader) buffered() int { return e.reader.Buffered() }
-
-// next returns the next event, or io.EOF at the end of a whole stream.
-func (e *eventReader) next() (event, error) {
-	var one event
-	for {
-		line, err := e.reader.ReadSlice('\n')
-		one.data = append(one.data, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(one.data) > maxEventBytes {
-				return one, errors.WithStack(&EventError{Problem: "an event is too large"})
-			}
-			continue
-		}
-		if errors.Is(err, io.EOF) && len(one.data) > 0 {
-			return one, errors.WithStack(io.ErrUnexpectedEOF)
-		}
-		if err != nil {
-			return one, err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if value, found := bytes.CutPrefix(text, []byte("id:")); found {
-			one.id = string(bytes.TrimPrefix(value, []byte(" ")))
-		}
-		if len(text) == 0 {
-			return one, nil
-		}
-	}
-}
-
 // EventError says that a stream is not as it should be.
 type EventError struct{ Problem string }
 
@@ -79,6 +22,9 @@
 	status  int
 	header  http.Header
 	lastID  string
+	// events counts those that the caller has, unnumbered those without a number since
+	// the last that has one.
+	events, unnumbered int
 }
 
 func newRelay(w http.ResponseWriter, codec Codec) *relay {
@@ -124,16 +70,13 @@
 }
 
 // event passes an event on. With more set, another one follows at once, and this one
-// may wait for it. An event that the caller has already, after a resume, is left out.
+// may wait for it.
 func (r *relay) event(one event, more bool) error {
-	fresh, err := r.inOrder(one)
-	if err != nil || !fresh {
-		return err
-	}
 	r.start()
 	if _, err := r.w.Write(one.data); err != nil {
 		return errors.Wrap(err, "caller")
 	}
+	r.events++
 	if one.id != "" {
 		r.lastID = one.id
 	}
@@ -143,22 +86,41 @@
 	return errors.Wrap(http.NewResponseController(r.w).Flush(), "caller")
 }
 
-// inOrder reports whether an event is one that the caller lacks. It fails with
-// *EventError when the stream jumps back or leaves events out.
-func (r *relay) inOrder(one event) (bool, error) {
+// news is what an event brings to the caller.
+type news int
+
+const (
+	// newsNone: the caller has the event already, after a resume.
+	newsNone news = iota
+	// newsUnknown: the event has no number among events that have.
+	newsUnknown
+	// newsFresh: the stream has come further.
+	newsFresh
+)
+
+// inOrder reports what an event brings. It fails with *EventError when the stream
+// leaves events out or goes on without numbers.
+func (r *relay) inOrder(one event) (news, error) {
 	last, err1 := strconv.ParseInt(r.lastID, 10, 64)
 	next, err2 := strconv.ParseInt(one.id, 10, 64)
-	if err1 != nil || err2 != nil {
-		// Without numbers there is no order to check.
-		return true, nil
-	}
 	switch {
+	case one.empty:
+		return newsUnknown, nil
+	case err1 != nil:
+		// Before the first number there is no order to check.
+		return newsFresh, nil
+	case err2 != nil:
+		if r.unnumbered++; r.unnumbered > maxUnnumbered {
+			return newsNone, errors.WithStack(&EventError{Problem: "the stream goes on without numbers"})
+		}
+		return newsUnknown, nil
 	case next <= last:
-		return false, nil
+		return newsNone, nil
 	case next > last+1:
-		return false, errors.WithStack(&EventError{Problem: "the stream leaves events out"})
+		return newsNone, errors.WithStack(&EventError{Problem: "the stream leaves events out"})
 	}
-	return true, nil
+	r.unnumbered = 0
+	return newsFresh, nil
 }
 
 // finish ends a stream that is whole.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -45,6 +45,9 @@
 	status       int
 	// reply is the last failure that a backend server answered with.
 	reply *reply
+	// overrun is set when a stream went on past what was asked: what the caller has of it
+	// can't be completed by anyone.
+	overrun bool
 	// stalled is set when the last send was given up for a further one, which is paid
 	// for from the retry budget already.
 	stalled atomic.Bool
@@ -98,7 +101,7 @@
 			return nil
 		}
 		g.logger.Info().Str("request_id", one.info.ID).Str("backend_server", place.server.ID).
-			Str("address", place.server.Address).Int("sends", p.sends).Str("outcome", outcome.String()).Err(err).Msg("send")
+			Str("address", place.server.Address).Int("sends", p.sends).Str("outcome", outcome.String()).Err(err).Func(g.describeBad(one, err)).Msg("send")
 		if ctx.Err() != nil || !g.mayTryAgain(one, p, outcome) {
 			return g.final(ctx, one, p, nil)
 		}
@@ -107,7 +110,7 @@
 
 // mayTryAgain reports whether a call may go to another backend server.
 func (g *Gateway) mayTryAgain(one *call, p *progress, last verdict) bool {
-	if steady.Until(one.deadline) < leastRetryTime {
+	if p.overrun || steady.Until(one.deadline) < leastRetryTime {
 		return false
 	}
 	if p.stalled.Swap(false) {
--- a/internal/upstream/bounds.go
+++ b/internal/upstream/bounds.go
@@ -38,6 +38,7 @@
 	ExcessInterim ExcessKind = "interim-heads"
 	ExcessStray   ExcessKind = "stray-answers"
 	ExcessDrain   ExcessKind = "unused-body"
+	ExcessSurplus ExcessKind = "after-answer"
 	ExcessBody    ExcessKind = "body"
 	ExcessEvent   ExcessKind = "event"
 	ExcessEvents  ExcessKind = "events"
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -96,7 +96,7 @@
 		return nil, &BrokenError{Address: address, Cause: err}
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, body: response.Body, closing: response.Close,
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, body: response.Body, closing: response.Close,
 		conn: c, client: client, written: written, stop: stop,
 	}, nil
 }
@@ -181,8 +181,10 @@
 
 // Answer is an answer of which the head has been read.
 type Answer struct {
-	Status  int
-	Header  http.Header
+	Status int
+	Header http.Header
+	// Length is the announced length of the body; -1: none.
+	Length  int64
 	body    io.ReadCloser
 	closing bool
 	conn    *conn
@@ -219,8 +221,9 @@
 
 // Close ends the exchange. The connection is kept, for keepAlive if that is known,
 // if both request and answer passed whole; otherwise it is closed, and the server
-// stops the request.
-func (a *Answer) Close(keepAlive time.Duration) {
+// stops the request. It fails with *ExcessError if bytes came after a whole answer: the
+// answer counts, but they belong to no request.
+func (a *Answer) Close(keepAlive time.Duration) error {
 	stopped := a.stop()
 	var wrote bool
 	select {
@@ -228,9 +231,14 @@
 		wrote = err == nil
 	default:
 	}
-	if !stopped || !a.ended || !wrote || a.closing || a.conn.reader.Buffered() > 0 {
+	surplus := a.conn.reader.Buffered()
+	if !stopped || !a.ended || !wrote || a.closing || surplus > 0 {
 		a.conn.close()
-		return
+		if a.ended && surplus > 0 {
+			return errors.WithStack(&ExcessError{Kind: ExcessSurplus, Read: a.conn.in.read, Limit: a.conn.in.read - int64(surplus)})
+		}
+		return nil
 	}
 	a.client.put(a.conn, keepAlive)
+	return nil
 }
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -169,7 +169,7 @@
 			answer, err := ask(t, newClient(t), address)
 			c.Assert(err, qt.IsNil)
 			_, err = io.Copy(io.Discard, answer)
-			answer.Close(time.Minute)
+			c.Assert(answer.Close(time.Minute), qt.IsNil)
 			var malformed *upstream.MalformedError
 			c.Assert(errors.As(err, &malformed), qt.IsTrue, qt.Commentf("%v", err))
 			c.Assert(<-sent < tolerated, qt.IsTrue)
@@ -191,7 +191,12 @@
 	body, err := io.ReadAll(answer)
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(body), qt.Equals, "hello")
-	answer.Close(time.Minute)
+	var excess *upstream.ExcessError
+	if err := answer.Close(time.Minute); err != nil {
+		// They may come later.
+		c.Assert(errors.As(err, &excess), qt.IsTrue)
+		c.Assert(excess.Kind, qt.Equals, upstream.ExcessSurplus)
+	}
 	time.Sleep(50 * time.Millisecond)
 	// The server is busy with its bytes and takes no other connection, so that a
 	// request on the old one would fail with its bytes in place of an answer.
@@ -214,7 +219,7 @@
 	n, err := io.Copy(io.Discard, answer)
 	c.Assert(err, qt.IsNil)
 	c.Assert(n, qt.Equals, int64(100000))
-	answer.Close(time.Minute)
+	c.Assert(answer.Close(time.Minute), qt.IsNil)
 }
 
 // An answer that nobody gets is read to its end only while that is short.
@@ -237,7 +242,7 @@
 			c.Assert(err, qt.IsNil)
 			began := time.Now()
 			c.Assert(answer.Drain(), qt.Not(qt.IsNil))
-			answer.Close(time.Minute)
+			c.Assert(answer.Close(time.Minute), qt.IsNil)
 			c.Assert(time.Since(began) < time.Second, qt.IsTrue)
 			c.Assert(<-sent < tolerated, qt.IsTrue)
 		})
