Soak: backend servers that answer with bytes without end

Every run checks that no process had more memory than its machine.

The soak command takes the first of its networks, so that two soaks can run at the same time.

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -25,6 +25,7 @@
 	faults := flag.Int("faults", 8, "faults of one seed")
 	length := flag.Duration("length", 6*time.Second, "time in which faults begin")
 	entries := flag.Int("entries", 0, "entries; 0: the usual number")
+	first := flag.Int("network", 0, "first loopback network: two soaks at the same time need their own, from 0 to 99")
 	engines := flag.Int("engines", 0, "engines with sidecars; 0: the usual number")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -38,7 +39,7 @@
 		all.Go(func() {
 			for seed := range next {
 				options := soak.Options{
-					Seed: seed, Program: *program, Dir: filepath.Join(*dir, fmt.Sprint(seed)), Network: network,
+					Seed: seed, Program: *program, Dir: filepath.Join(*dir, fmt.Sprint(seed)), Network: *first + network,
 					Faults: *faults, Length: *length, Entries: *entries, Engines: *engines,
 				}
 				result, err := soak.Run(ctx, options)
--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -34,7 +34,9 @@
 	Entry         *machine
 	Incarnation   int
 	// Version is that of the route asked for, for calls of kind "version".
-	Version     int
+	Version int
+	// Padding is the length of the body besides a few words.
+	Padding     int
 	Tokens      int
 	Patience    time.Duration
 	Sent, Ended time.Time
@@ -182,7 +184,7 @@
 		ask.PromptTokens, ask.OutputTokens = one.Tokens-100, 100
 	}
 	// A POST is never sent twice by the transport itself.
-	body := strings.NewReader("payload of " + one.ID)
+	body := strings.NewReader("payload of " + one.ID + strings.Repeat(".", one.Padding))
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+one.Entry.Front+"/"+path+"/x", body)
 	if err != nil {
 		one.Err = err
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -83,6 +83,9 @@
 			}
 		})
 	}},
+	{"server endless", func(s *series, ctx context.Context, r *rand.Rand, d time.Duration) string {
+		return s.server(ctx, s.anyPlace(r), d, func(v *standin.Server, on bool) { v.Endless.Store(on) })
+	}},
 	{"link to a server", func(s *series, ctx context.Context, r *rand.Rand, d time.Duration) string {
 		p := s.anyPlace(r)
 		return p.ip + s.link(ctx, p.link, r, d)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -114,10 +114,11 @@
 	stopCallers()
 	all.Wait()
 	sleep(ctx, closedWorld)
+	memory := w.checkMemory()
 	closing := w.close()
 	v := &verdict{w: w, calls: c.calls, faults: s.faults}
 	v.check(calmFrom)
-	result := Result{Seed: w.options.Seed, Asked: len(c.calls), Violations: v.violations, Problems: s.problems}
+	result := Result{Seed: w.options.Seed, Asked: len(c.calls), Violations: append(v.violations, memory...), Problems: s.problems}
 	for _, one := range c.calls {
 		if one.Status == 200 && one.Whole {
 			result.Served++
