--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -44,6 +44,9 @@
 	status       int
 	// reply is the last failure that a backend server answered with.
 	reply *reply
+	// overrun is set when a stream went on past what was asked: what the caller has of it
+	// can't be completed by anyone.
+	overrun bool
 	// next is the place that the last send was given up for. It is paid for from the
 	// retry budget already.
 	next *placement
@@ -114,7 +117,7 @@
 		}
 		p.sendFailed(outcome, err)
 		g.logger.Info().Str("request_id", one.info.ID).Str("backend_server", place.server.ID).
-			Str("address", place.server.Address).Int("sends", p.sends).Str("outcome", outcome.String()).Err(err).Msg("send")
+			Str("address", place.server.Address).Int("sends", p.sends).Str("outcome", outcome.String()).Err(err).Func(g.describeBad(one, err)).Msg("send")
 		if ctx.Err() != nil || !g.mayTryAgain(one, p, outcome) {
 			p.noRetry = p.whyNoRetry(one, outcome)
 			return g.final(ctx, one, p, nil)
@@ -124,7 +127,7 @@
 
 // mayTryAgain reports whether a call may go to another backend server.
 func (g *Gateway) mayTryAgain(one *call, p *progress, last verdict) bool {
-	if steady.Until(one.deadline) < leastRetryTime {
+	if p.overrun || steady.Until(one.deadline) < leastRetryTime {
 		return false
 	}
 	if p.next != nil {
