--- a/cmd/lagoonlane/onplatform_test.go
+++ b/cmd/lagoonlane/onplatform_test.go
@@ -7,7 +7,10 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric/noop"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonlane/lagoonlane/platform"
 )
 
 // quietLog is a log that is closed with the process.
@@ -19,7 +22,9 @@
 // the configuration and the backend servers of that moment.
 func TestRoleEndsWhenItsBackgroundWorkFails(t *testing.T) {
 	c := qt.New(t)
-	n := &node{logger: zerolog.Nop(), logs: quietLog{}}
+	life, err := newLifecycleLog(zerolog.Nop(), noop.Meter{}, platform.Settings{})
+	c.Assert(err, qt.IsNil)
+	n := &node{logger: zerolog.Nop(), logs: quietLog{}, lifecycleLog: life}
 	n.settings.Bounds.ShutdownGrace = time.Second
 	background, stop := context.WithCancel(t.Context())
 	defer stop()
--- a/internal/gateway/cut.go
+++ b/internal/gateway/cut.go
@@ -26,8 +26,8 @@
 	// CutClosedIdle: this process closed the caller's connection as idle while the request
 	// was being read.
 	CutClosedIdle Cut = "closed-idle"
-	// CutStalled: this process gave the backend server up as it was silent, and found no
-	// other one.
+	// CutStalled: this process gave the backend server up as it was silent, and the next
+	// one didn't take the request.
 	CutStalled Cut = "stalled"
 	// CutBackendServer: the connection to the backend server broke off.
 	CutBackendServer Cut = "backend-server"
@@ -77,7 +77,7 @@
 	switch {
 	case errors.As(err, &caller):
 		p.broken = CutCallerLeft
-	case p.stalled.Load():
+	case p.next != nil:
 		p.broken = CutStalled
 	case errors.As(err, &answer), errors.As(err, &event), errors.As(err, &stray):
 		p.broken = CutBadAnswer
--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -167,7 +167,7 @@
 	w.c.Assert(line["no_retry"], qt.Equals, "the service has no backend server that can be tried")
 	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"stalled": "1"})
 	stall := w.line("stall")
-	w.c.Assert(stall["outcome"], qt.Equals, "given up")
+	w.c.Assert(stall["outcome"], qt.Equals, "moved")
 	w.c.Assert(stall["events"], qt.Equals, 2.0)
 	w.c.Assert(stall["limit_ms"], qt.Equals, 500.0)
 	w.c.Assert(stall["pause_ms"].(float64) >= 499, qt.IsTrue, qt.Commentf("%v", stall["pause_ms"]))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 	"github.com/lagoonlane/lagoonlane/internal/telemetry"
@@ -25,6 +27,8 @@
 	shortCall = 1500 * time.Millisecond
 	// cautiousTokenTime is the time for one output token at a slow engine.
 	cautiousTokenTime = 10 * time.Millisecond
+	// defaultHeldBytes is for processes that don't know how much memory they have.
+	defaultHeldBytes = 256 << 20
 )
 
 // Bounds are the limits that the deployment sets.
@@ -52,8 +56,11 @@
 	Entries func() int
 	Limits  *limit.Pool
 	Bounds  Bounds
-	Logger  zerolog.Logger
-	Meter   metric.Meter
+	// HeldBytes bounds the bodies and answers that are held for all requests together; 0
+	// means defaultHeldBytes.
+	HeldBytes int64
+	Logger    zerolog.Logger
+	Meter     metric.Meter
 	// Limiter bounds the lines that a fault could repeat; may be nil.
 	Limiter *telemetry.Limiter
 	// Requests gets the requests that run; nil: the gateway counts for itself.
@@ -69,6 +76,7 @@
 	metrics *metrics
 	servers *serverTable
 	retries *retryBudget
+	held    *membudget.Budget
 	// leaving is when every call must have ended (Unix nanoseconds of the wall clock);
 	// 0: the gateway isn't leaving.
 	leaving atomic.Int64
@@ -85,9 +93,10 @@
 		lines:   options.Limiter.Logger(options.Logger, "gateway"),
 		servers: newServerTable(options.DataCentre),
 		retries: newRetryBudget(options.Bounds.Retries),
+		held:    membudget.New(cmp.Or(options.HeldBytes, defaultHeldBytes)),
 	}
 	var err error
-	g.metrics, err = newMetrics(options.Meter, g.delay, options.Requests)
+	g.metrics, err = newMetrics(options.Meter, g.delay, g.held.Used, options.Requests)
 	return g, err
 }
 
@@ -144,6 +153,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	one, failure := g.accept(w, r)
+	defer one.hold.Release()
 	defer g.crashed(one)
 	if failure == nil {
 		failure = g.mayFinish(one)
