Tell bad bytes and missing memory from broken connections

cut_by called bytes that are no answer, answers without end and answers that this process had no memory for "backend-server". They are "bad-answer" and "memory" now. A stall so near the deadline that no other place is sought has its line.

--- a/internal/gateway/cut.go
+++ b/internal/gateway/cut.go
@@ -33,6 +33,8 @@
 	CutBackendServer Cut = "backend-server"
 	// CutBadAnswer: the backend server gave an answer that can't be passed on.
 	CutBadAnswer Cut = "bad-answer"
+	// CutMemory: this process had no memory left for the answer.
+	CutMemory Cut = "memory"
 	// CutDeadline: there was no whole answer at the deadline.
 	CutDeadline Cut = "deadline"
 	// CutCrashed: handling the request panicked in this process.
@@ -72,14 +74,16 @@
 	}
 	var caller *CallerError
 	var answer *AnswerError
-	var event *EventError
 	var stray *upstream.StrayError
+	bad, _, _ := badBytes(err)
 	switch {
 	case errors.As(err, &caller):
 		p.broken = CutCallerLeft
 	case p.next != nil:
 		p.broken = CutStalled
-	case errors.As(err, &answer), errors.As(err, &event), errors.As(err, &stray):
+	case bad == badMemory:
+		p.broken = CutMemory
+	case bad != "", errors.As(err, &answer), errors.As(err, &stray):
 		p.broken = CutBadAnswer
 	default:
 		p.broken = CutBackendServer
@@ -91,6 +95,8 @@
 	switch {
 	case steady.Until(one.deadline) < leastRetryTime:
 		return "no time left"
+	case p.overrun:
+		return "the answer has more events than it may have"
 	case last == verdictFailed && !one.route.Repeatable():
 		return "the request may run once only"
 	case last == verdictFailed && p.ran >= one.route.MaxServers:
--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -227,6 +227,25 @@
 	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"bad-answer": "1"})
 }
 
+// Bytes that are no answer are the backend server's fault, but not a break of its
+// connection.
+func TestCutByBytesThatAreNoAnswer(t *testing.T) {
+	w := newWorld(t, func(_ *http.Request, conn net.Conn) { fmt.Fprint(conn, "no answer\r\n\r\n") })
+	_, _, err := w.call("POST", "/unsafe/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(w.line("request")["cut_by"], qt.Equals, string(gateway.CutBadAnswer))
+	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"bad-answer": "1"})
+}
+
+// An answer that this process has no memory for is not the backend server's fault.
+func TestCutByMemory(t *testing.T) {
+	w := newWorldWith(t, 0, func(o *gateway.Options) { o.HeldBytes = 256 << 10 }, whole(200, strings.Repeat("x", 250<<10)))
+	_, _, err := w.call("POST", "/unsafe/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(w.line("request")["cut_by"], qt.Equals, string(gateway.CutMemory))
+	w.c.Assert(w.cuts(), qt.DeepEquals, map[string]string{"memory": "1"})
+}
+
 func TestCutByTheDeadline(t *testing.T) {
 	w := newWorld(t, silent)
 	response, _, err := w.call("POST", "/short/x", "p")
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -103,6 +103,9 @@
 // on in the meantime. Without a place it looks again later.
 func (w *stallWatch) look() {
 	if steady.Until(w.one.deadline) < w.one.route.Objective {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.log().Str("outcome", "kept").Str("reason", "too little time is left for another answer").Msg("stall")
 		return
 	}
 	ctx, cancel := context.WithCancel(w.parent)
