--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/callerconn"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/gateway"
 	"github.com/lagoonlane/lagoonlane/internal/lateness"
@@ -66,7 +66,14 @@
 	metrics  *telemetry.Metrics
 	internal *http.ServeMux
 	// servers are closed when the process ends.
-	servers []*http.Server
+	servers []listenServer
+	*lifecycleLog
+}
+
+// listenServer is what a process needs of a server of one address.
+type listenServer interface {
+	Serve(net.Listener) error
+	Close() error
 }
 
 func newNode(role string, metricsPort int) (*node, error) {
@@ -90,21 +97,27 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
 	}
+	life, err := newLifecycleLog(logger, metrics.Meter, settings)
+	if err != nil {
+		return nil, err
+	}
 	if metricsPort > 0 {
 		settings.Metrics = net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort))
 	}
-	return &node{settings: settings, logger: logger, logs: out, metrics: metrics, internal: http.NewServeMux()}, nil
+	return &node{settings: settings, logger: logger, logs: out, metrics: metrics, internal: http.NewServeMux(), lifecycleLog: life}, nil
 }
 
 // listen serves a handler on an address until the node ends.
-func (n *node) listen(group *errgroup.Group, server *http.Server, address string) error {
+func (n *node) listen(group *errgroup.Group, server listenServer, address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.WithStack(&ListenError{Address: address, Cause: err})
 	}
+	listener = n.listener(listener, address)
 	n.servers = append(n.servers, server)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.logger.Error().Str("address", address).Err(err).Str("outcome", "no longer served").Msg("listener")
 			return errors.WithStack(err)
 		}
 		return nil
@@ -114,29 +127,37 @@
 
 // listenInternal serves other processes and the metrics page.
 func (n *node) listenInternal(group *errgroup.Group) error {
-	if err := n.listen(group, transport.NewInternalServer(n.internal), n.settings.Internal); err != nil {
+	if err := n.listen(group, n.prepared(transport.NewInternalServer(n.internal), "internal"), n.settings.Internal); err != nil {
 		return err
 	}
 	page := http.NewServeMux()
 	page.Handle("GET /metrics", n.metrics.Handler)
-	return n.listen(group, transport.NewInternalServer(page), n.settings.Metrics)
+	return n.listen(group, n.prepared(transport.NewInternalServer(page), "metrics"), n.settings.Metrics)
 }
 
 // run serves until ctx is done or a part of the role fails, then lets leave end what is running.
 func (n *node) run(ctx context.Context, group *errgroup.Group, groupCtx context.Context, stop context.CancelFunc, work []runFunc, leave func(context.Context)) error {
 	for _, run := range work {
-		group.Go(func() error { return untilDone(groupCtx, run) })
+		group.Go(func() error {
+			err := untilDone(groupCtx, run)
+			if err != nil {
+				n.logger.Error().Err(err).Str("outcome", "ended").Msg("background work")
+			}
+			return err
+		})
 	}
-	n.logger.Info().Str("internal", n.settings.Internal).Str("front", n.settings.Front).Str("outcome", "started").Msg("process")
+	n.started()
+	ended := ctx
 	select {
 	case <-ctx.Done():
 	case <-groupCtx.Done():
-		n.logger.Error().Err(context.Cause(groupCtx)).Str("outcome", "failed").Msg("process")
+		ended = groupCtx
 	}
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.ShutdownGrace-exitMargin)
 	defer cancel()
-	n.logger.Info().Str("outcome", "stopping").Msg("process")
+	n.stopping(ended)
 	leave(bounded)
+	n.cutRunning()
 	for _, server := range n.servers {
 		if err := server.Close(); err != nil {
 			n.logger.Warn().Err(err).Msg("a listener could not be closed")
@@ -144,7 +165,7 @@
 	}
 	stop()
 	err := group.Wait()
-	n.logger.Info().Str("outcome", "stopped").Msg("process")
+	n.stopped(err)
 	return errors.WithMessage(firstError(err, n.logs.Close()), "platform role")
 }
 
@@ -157,24 +178,18 @@
 	return nil
 }
 
-// reloadPlatformSettings reads and checks the settings file again. What a process is
-// bound to (addresses, store) holds until its next start.
-func reloadPlatformSettings() error {
-	_, err := platform.LoadSettings()
-	return err
-}
-
 // runPlatformSidecar hands out the slots of the engine on the same machine.
 func runPlatformSidecar(ctx context.Context, signals *signalHandler, metricsPort int) error {
 	n, err := newNode("sidecar", metricsPort)
 	if err != nil {
 		return err
 	}
-	signals.attach(n.logger, reloadPlatformSettings)
+	signals.attach(n.logger, n.reload)
 	server := slots.NewServer(slots.ServerOptions{
-		Queue:  admission.NewSlotQueue(admission.SlotOptions{}),
-		Probe:  platform.NewEngineProbe(n.settings.Engine),
-		Logger: n.logger,
+		Queue:   admission.NewSlotQueue(admission.SlotOptions{}),
+		Probe:   platform.NewEngineProbe(n.settings.Engine),
+		Logger:  n.logger,
+		Limiter: n.limiter,
 	})
 	n.internal.Handle("GET "+slots.Path, server)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -197,7 +212,7 @@
 	gateway       *gateway.Gateway
 	lateness      *lateness.Meter
 	upstream      *upstream.Client
-	public        *http.Server
+	public        *callerconn.Server
 }
 
 func newEntryNode(metricsPort int) (*entryNode, error) {
@@ -209,31 +224,38 @@
 	holder := &fleet.Holder{}
 	e.configuration = platform.NewConfigurationSource(holder, n.logger)
 	codec := platform.Codec{}
+	strays := n.limiter.Logger(n.logger, "stray answer")
 	e.upstream = upstream.New(upstream.Options{
 		IDOf: func(h http.Header) string { return codec.DecodeAnswer(h).RequestID },
+		Stray: func(server, sent, answered string) {
+			strays.Warn().Str("request_id", sent).Str("backend_server", server).Str("answered", answered).
+				Str("outcome", "passed over").Msg("stray answer")
+		},
 	})
 	e.servers = platform.NewServerSource(e.directory, n.logger)
 	e.servers.Gone = e.upstream.Forget
 	peers := transport.NewClient("", nil)
 	pool := limit.NewPool(time.Now())
 	e.roster = roster.New(roster.Options{
-		ID: n.settings.ID, Address: n.settings.Internal, Boot: rand.Text(), Client: peers, Pool: pool,
+		ID: n.settings.ID, Address: n.settings.Internal, Boot: n.boot, Client: peers, Pool: pool,
 		Configuration: e.configuration.Configuration,
 		Offer:         func(raw []byte) { e.configuration.Offer(raw, "peer") },
 		Confirm:       e.configuration.Confirm,
 		Logger:        n.logger,
 	})
+	sidecars := slots.NewClient(nil)
+	sidecars.Logger = n.limiter.Logger(n.logger, "slot connection")
 	bounds := n.settings.Bounds
 	e.gateway, err = gateway.New(gateway.Options{
 		DataCentre: n.settings.DataCentre, Codec: codec, Manifest: holder, Directory: e.directory,
-		Upstream: e.upstream, Slots: slots.NewClient(nil),
+		Upstream: e.upstream, Slots: sidecars,
 		SlotAddress: gateway.SlotAddress(strconv.Itoa(n.settings.InternalPort)),
 		Lateness:    e.lateness, Entries: e.roster.Entries, Limits: pool,
 		Bounds: gateway.Bounds{
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
 		},
-		Logger: n.logger, Meter: n.metrics.Meter,
+		Logger: n.logger, Meter: n.metrics.Meter, Limiter: n.limiter, Requests: n.requests,
 	})
 	return e, err
 }
@@ -244,7 +266,7 @@
 	if err != nil {
 		return err
 	}
-	signals.attach(e.logger, reloadPlatformSettings)
+	signals.attach(e.logger, e.reload)
 	e.roster.Register(e.internal)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -252,12 +274,15 @@
 	if err := e.listenInternal(group); err != nil {
 		return err
 	}
-	if err := e.listen(group, &http.Server{Handler: e.readiness(), ReadHeaderTimeout: callerHeaderTimeout}, e.settings.Ready); err != nil {
+	ready := e.prepared(&http.Server{Handler: e.readiness(), ReadHeaderTimeout: callerHeaderTimeout}, "ready")
+	if err := e.listen(group, ready, e.settings.Ready); err != nil {
 		return err
 	}
-	e.public = &http.Server{
+	front := &http.Server{
 		Handler: e.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 	}
+	e.public = callerconn.NewServer(front)
+	e.watched(front)
 	if err := e.listen(group, e.public, e.settings.Front); err != nil {
 		return err
 	}
@@ -280,7 +305,9 @@
 func (e *entryNode) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !e.gateway.Ready() {
+		reason := e.gateway.NotReady()
+		e.readinessTold(reason)
+		if reason != "" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -316,7 +343,8 @@
 	case <-time.After(leaveAfter):
 	case <-bounded.Done():
 	}
+	e.closingIdle()
 	if err := e.public.Shutdown(bounded); err != nil {
-		e.logger.Warn().Err(err).Msg("requests were still running at the end of the grace time")
+		e.logger.Warn().Err(err).Int64("running", e.requests.Running()).Msg("requests were still running at the end of the grace time")
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -47,6 +47,8 @@
 	service     string
 	engine      *fleet.Engine
 	account     *fleet.Account
+	// concluded says that the call has its line.
+	concluded bool
 }
 
 // rank returns the tier of the request among all: the account's rank takes precedence
@@ -215,7 +217,7 @@
 	case errors.As(err, &over):
 		return nil, tooLarge
 	case r.Context().Err() != nil:
-		return nil, refusal(KindCallerLeft, http.StatusBadRequest, "the caller left while it sent the body")
+		return nil, cutOff(r.Context())
 	}
 	return nil, refusal(KindMalformed, http.StatusBadRequest, "the body could not be read: "+err.Error())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
+	"github.com/lagoonlane/lagoonlane/internal/telemetry"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
 
@@ -35,7 +36,7 @@
 	Retries      RetryBounds
 }
 
-// Options configure a Gateway. All but Meter and Lateness are required.
+// Options configure a Gateway. All but Meter, Lateness, Limiter and Requests are required.
 type Options struct {
 	DataCentre string
 	Codec      Codec
@@ -53,12 +54,18 @@
 	Bounds  Bounds
 	Logger  zerolog.Logger
 	Meter   metric.Meter
+	// Limiter bounds the lines that a fault could repeat; may be nil.
+	Limiter *telemetry.Limiter
+	// Requests gets the requests that run; nil: the gateway counts for itself.
+	Requests *Requests
 }
 
 // Gateway serves callers. It is an http.Handler.
 type Gateway struct {
 	options Options
 	logger  zerolog.Logger
+	// lines is the logger for what a fault may repeat.
+	lines   zerolog.Logger
 	metrics *metrics
 	servers *serverTable
 	retries *retryBudget
@@ -69,14 +76,18 @@
 
 // New returns a gateway.
 func New(options Options) (*Gateway, error) {
+	if options.Requests == nil {
+		options.Requests = &Requests{}
+	}
 	g := &Gateway{
 		options: options,
 		logger:  options.Logger,
+		lines:   options.Limiter.Logger(options.Logger, "gateway"),
 		servers: newServerTable(options.DataCentre),
 		retries: newRetryBudget(options.Bounds.Retries),
 	}
 	var err error
-	g.metrics, err = newMetrics(options.Meter, g.delay)
+	g.metrics, err = newMetrics(options.Meter, g.delay, options.Requests)
 	return g, err
 }
 
@@ -85,12 +96,24 @@
 // Ready reports whether callers can be served: configuration and backend servers are
 // known, the configuration is recent enough to check keys for a while, and there is
 // processor time for more callers.
-func (g *Gateway) Ready() bool {
+func (g *Gateway) Ready() bool { return g.NotReady() == "" }
+
+// NotReady says why callers can't be served; empty: they can.
+func (g *Gateway) NotReady() string {
 	manifest, confirmed := g.options.Manifest.Current()
-	if g.leaving.Load() != 0 || manifest == nil || !g.options.Directory.Loaded() || g.overloaded() {
-		return false
+	switch {
+	case g.leaving.Load() != 0:
+		return "stopping"
+	case manifest == nil:
+		return "no configuration yet"
+	case !g.options.Directory.Loaded():
+		return "no backend servers known yet"
+	case g.overloaded():
+		return "short of processor time"
+	case manifest.HasAccounts && steady.Since(confirmed) >= g.options.Bounds.RevokeWithin/2:
+		return "the configuration may be out of date"
 	}
-	return !manifest.HasAccounts || steady.Since(confirmed) < g.options.Bounds.RevokeWithin/2
+	return ""
 }
 
 // Leave makes every answer from now on close its connection, and refuses requests
@@ -115,10 +138,13 @@
 
 // ServeHTTP answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.options.Requests.begin()
+	defer g.options.Requests.end()
 	if g.leaving.Load() != 0 {
 		w.Header().Set("Connection", "close")
 	}
 	one, failure := g.accept(w, r)
+	defer g.crashed(one)
 	if failure == nil {
 		failure = g.mayFinish(one)
 	}
@@ -164,15 +190,19 @@
 
 // conclude writes the final answer, if the caller has none yet, and the log line.
 func (g *Gateway) conclude(w http.ResponseWriter, r *http.Request, one *call, p *progress, failure *Failure) {
+	one.concluded = true
 	took := steady.Since(one.arrived)
 	g.metrics.concluded(one, p, failure, took)
 	g.log(one, p, failure, took)
+	if failure != nil {
+		g.options.Requests.cutOff(one.info.ID, failure.Cut)
+	}
 	switch {
 	case failure == nil:
-	case p.relay != nil && p.relay.started:
+	case p.started():
 		// The caller has part of an answer: only a broken connection says that it isn't whole.
 		panic(http.ErrAbortHandler)
-	case r.Context().Err() != nil && failure.Kind == KindCallerLeft:
+	case r.Context().Err() != nil && (failure.Kind == KindCallerLeft || failure.Kind == KindStopped):
 		panic(http.ErrAbortHandler)
 	case failure.Kind == KindOverloaded:
 		// The caller's next request had better go to another process.
@@ -198,12 +228,24 @@
 			Dur("longest_pause_ms", p.longestPause)
 	}
 	event.Dur("waited_ms", p.waited)
+	if end := g.leaving.Load(); end != 0 {
+		event.Dur("stop_in_ms", time.Until(time.Unix(0, end)))
+	}
 	if failure == nil {
 		event.Int("status", p.status).Str("outcome", "answered").Msg("request")
 		return
 	}
+	if failure.Cut != "" {
+		event.Str("cut_by", string(failure.Cut))
+	}
+	if failure.Cut != "" && failure.Cut == p.broken {
+		event.Str("no_retry", p.noRetry)
+	}
+	if p.started() {
+		event.Str("last_event", p.relay.lastID)
+	}
 	event.Int("status", failure.Status).Str("outcome", string(failure.Kind)).Str("reason", failure.Detail).
-		Dur("retry_after_ms", failure.RetryAfter).Bool("cut", p.relay != nil && p.relay.started).Msg("request")
+		Dur("retry_after_ms", failure.RetryAfter).Bool("cut", p.started()).Msg("request")
 }
 
 // Run forgets what is no longer of use, until ctx is done.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,9 +44,20 @@
 	status       int
 	// reply is the last failure that a backend server answered with.
 	reply *reply
-	// stalled is set when the last send was given up for a further one, which is paid
-	// for from the retry budget already.
-	stalled atomic.Bool
+	// next is the place that the last send was given up for. It is paid for from the
+	// retry budget already.
+	next *placement
+	// broken is what ended the last send that may have run, noRetry why the request went
+	// to no further backend server.
+	broken  Cut
+	noRetry string
+}
+
+// takeNext returns the place that the last send was given up for, or nil.
+func (p *progress) takeNext() *placement {
+	at := p.next
+	p.next = nil
+	return at
 }
 
 // verdict says what became of one send.
@@ -83,10 +93,15 @@
 // run answers a call. Every failure it returns is final.
 func (g *Gateway) run(ctx context.Context, one *call, p *progress) *Failure {
 	p.tried = map[string]bool{}
+	defer func() { p.takeNext().giveBack() }()
 	for {
-		place, failure := g.place(ctx, one, p)
-		if failure != nil {
-			return g.final(ctx, one, p, failure)
+		place := p.takeNext()
+		if place == nil {
+			var failure *Failure
+			if place, failure = g.place(ctx, one, p); failure != nil {
+				p.noRetry = failure.Detail
+				return g.final(ctx, one, p, failure)
+			}
 		}
 		if g.probablyLeft(one, p) {
 			place.release(admission.Outcome{})
@@ -97,9 +112,11 @@
 		if outcome == verdictAnswered {
 			return nil
 		}
+		p.sendFailed(outcome, err)
 		g.logger.Info().Str("request_id", one.info.ID).Str("backend_server", place.server.ID).
 			Str("address", place.server.Address).Int("sends", p.sends).Str("outcome", outcome.String()).Err(err).Msg("send")
 		if ctx.Err() != nil || !g.mayTryAgain(one, p, outcome) {
+			p.noRetry = p.whyNoRetry(one, outcome)
 			return g.final(ctx, one, p, nil)
 		}
 	}
@@ -110,7 +127,7 @@
 	if steady.Until(one.deadline) < leastRetryTime {
 		return false
 	}
-	if p.stalled.Swap(false) {
+	if p.next != nil {
 		return true
 	}
 	switch last {
@@ -132,19 +149,21 @@
 func (g *Gateway) final(ctx context.Context, one *call, p *progress, refused *Failure) *Failure {
 	switch {
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
-		return &Failure{Kind: KindCallerLeft, Status: http.StatusBadGateway, Detail: "the caller left"}
+		return cutOff(ctx)
 	case ctx.Err() != nil && p.mayHaveRun:
-		return &Failure{Kind: KindTimeout, Status: http.StatusGatewayTimeout, Detail: "no whole answer at the deadline"}
+		return &Failure{Kind: KindTimeout, Status: http.StatusGatewayTimeout, Detail: "no whole answer at the deadline", Cut: CutDeadline}
 	case ctx.Err() != nil:
 		return unavailable(KindTimeout, defaultRetryAfter, "no slot before the deadline")
 	case p.reply != nil && p.reply.passable() && !p.relay.started:
 		if err := p.relay.whole(p.reply); err != nil {
-			return &Failure{Kind: KindCallerLeft, Status: http.StatusBadGateway, Detail: "the caller left during its answer"}
+			return &Failure{Kind: KindCallerLeft, Status: http.StatusBadGateway, Detail: "the caller left during its answer", Cut: CutCallerLeft}
 		}
 		p.status = p.reply.status
 		return nil
+	case p.broken == CutCallerLeft:
+		return &Failure{Kind: KindCallerLeft, Status: http.StatusBadGateway, Detail: "the caller left during its answer", Cut: CutCallerLeft}
 	case p.mayHaveRun:
-		return &Failure{Kind: KindFailed, Status: http.StatusBadGateway, Detail: "the backend server gave no whole answer"}
+		return &Failure{Kind: KindFailed, Status: http.StatusBadGateway, Detail: "the backend server gave no whole answer", Cut: p.broken}
 	case refused != nil:
 		return refused
 	case p.rejections > 0:
@@ -155,6 +174,10 @@
 
 // send sends a call to the backend server that it was placed at, once.
 func (g *Gateway) send(ctx context.Context, one *call, p *progress, at *placement) (verdict, error) {
+	if p.ran > 0 {
+		g.logger.Info().Str("request_id", one.info.ID).Str("before", p.server).Str("backend_server", at.server.ID).
+			Str("from_event", p.relay.resumeFrom()).Str("broken_by", string(p.broken)).Msg("repeat")
+	}
 	sent := time.Now()
 	g.servers.begin(at.server.ID)
 	p.server = at.server.ID
--- /dev/null
+++ b/internal/transport/connections.go
@@ -0,0 +1,302 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/lagoonlane/lagoonlane/internal/netpeek"
+)
+
+// ClosedIdleError is the cause with which a request ends that came over a connection
+// which this process closed as idle.
+type ClosedIdleError struct{}
+
+func (*ClosedIdleError) Error() string { return "this process closed the connection as idle" }
+
+// StoppedError is the cause with which requests end that still run when this process
+// must end.
+type StoppedError struct{}
+
+func (*StoppedError) Error() string { return "this process ended its grace time" }
+
+// ConnectionCounts are the connections of callers at a moment.
+type ConnectionCounts struct {
+	// Open counts all, Active those with a request.
+	Open, Active int64
+	// ClosedIdle counts those that this process closed without a request so far, and
+	// ClosedArriving those of them on which bytes of a next request had come already.
+	ClosedIdle, ClosedArriving int64
+}
+
+// Connections watches the connections of an HTTP/1.1 server from accept to close: how
+// many there are, and which side closes them. It is safe for concurrent use.
+type Connections struct {
+	logger zerolog.Logger
+	closed metric.Int64Counter
+
+	stopping                   atomic.Bool
+	open, active               atomic.Int64
+	closedIdle, closedArriving atomic.Int64
+}
+
+// NewConnections returns a watch that writes a line for each connection that was
+// closed while a request was arriving.
+func NewConnections(logger zerolog.Logger, meter metric.Meter) (*Connections, error) {
+	if meter == nil {
+		meter = noop.Meter{}
+	}
+	c := &Connections{logger: logger}
+	var err error
+	if c.closed, err = meter.Int64Counter("lagoonlane_connections_closed_idle", metric.WithDescription("callers' connections that this process closed while they were idle")); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	gauge, err := meter.Int64ObservableGauge("lagoonlane_connections", metric.WithDescription("callers' connections by state"))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		counts := c.Counts()
+		o.ObserveInt64(gauge, counts.Active, metric.WithAttributes(attribute.String("state", "active")))
+		o.ObserveInt64(gauge, counts.Open-counts.Active, metric.WithAttributes(attribute.String("state", "idle")))
+		return nil
+	}, gauge)
+	return c, errors.WithStack(err)
+}
+
+// Counts returns the counts now.
+func (c *Connections) Counts() ConnectionCounts {
+	return ConnectionCounts{
+		Open: c.open.Load(), Active: c.active.Load(),
+		ClosedIdle: c.closedIdle.Load(), ClosedArriving: c.closedArriving.Load(),
+	}
+}
+
+// Observe makes a server tell of its connections, beside the hooks that it has. The
+// server must have its handler, and be served on what Listener returns.
+func (c *Connections) Observe(server *http.Server) {
+	nextState, nextContext := server.ConnState, server.ConnContext
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if watched := findWatched(conn); watched != nil {
+			watched.enter(state)
+		}
+		if nextState != nil {
+			nextState(conn, state)
+		}
+	}
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if nextContext != nil {
+			ctx = nextContext(ctx, conn)
+		}
+		if watched := findWatched(conn); watched != nil {
+			ctx, watched.cancel = context.WithCancelCause(ctx)
+			ctx = context.WithValue(ctx, watchedKey{}, watched)
+		}
+		return ctx
+	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if watched, ok := r.Context().Value(watchedKey{}).(*watchedConn); ok {
+			watched.handled.Store(true)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// watchedKey is the key of a request's connection in its context.
+type watchedKey struct{}
+
+// Listener returns a listener whose connections are watched.
+func (c *Connections) Listener(inner net.Listener) net.Listener {
+	return &watchedListener{Listener: inner, connections: c}
+}
+
+// Stopping says that from now on connections are closed because the process stops.
+func (c *Connections) Stopping() { c.stopping.Store(true) }
+
+type watchedListener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept implements net.Listener.
+func (l *watchedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &watchedConn{Conn: conn, connections: l.connections}, nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (l *watchedListener) SyscallConn() (syscall.RawConn, error) {
+	if raw, ok := l.Listener.(syscall.Conn); ok {
+		return raw.SyscallConn()
+	}
+	return nil, errors.WithStack(syscall.EINVAL)
+}
+
+// SetDeadline bounds Accept, where the listener can be bounded.
+func (l *watchedListener) SetDeadline(t time.Time) error {
+	if bounded, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		return bounded.SetDeadline(t)
+	}
+	return errors.WithStack(os.ErrNoDeadline)
+}
+
+// end says which side ended a connection.
+type end int32
+
+const (
+	endOpen end = iota
+	// endPeer: the peer closed it, or it broke.
+	endPeer
+	// endOwn: this process closed it.
+	endOwn
+)
+
+// watchedConn is one connection of a caller.
+type watchedConn struct {
+	net.Conn
+	connections *Connections
+	// cancel ends the requests of the connection; nil until the server has made their
+	// context.
+	cancel context.CancelCauseFunc
+
+	state atomic.Int32
+	ended atomic.Int32
+	// received counts the bytes since the connection was last idle.
+	received atomic.Int64
+	// timedOut says that the last read ended at a deadline.
+	timedOut atomic.Bool
+	// handled says that the request that came last has reached the handler.
+	handled atomic.Bool
+	// closedIdle says that this process closed the connection in an idle state, unread
+	// that the kernel held bytes then.
+	closedIdle, unread atomic.Bool
+}
+
+// findWatched returns the watched connection below a server's connection, or nil.
+func findWatched(conn net.Conn) *watchedConn {
+	for conn != nil {
+		if watched, ok := conn.(*watchedConn); ok {
+			return watched
+		}
+		outer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = outer.NetConn()
+	}
+	return nil
+}
+
+// Read implements net.Conn.
+func (w *watchedConn) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	w.received.Add(int64(n))
+	// A deadline is one of this process's own.
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	w.timedOut.Store(timedOut)
+	if err != nil && w.idle() && !timedOut {
+		w.ended.CompareAndSwap(int32(endOpen), int32(endPeer))
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (w *watchedConn) Close() error {
+	if w.ended.CompareAndSwap(int32(endOpen), int32(endOwn)) && w.idle() {
+		w.unread.Store(netpeek.Look(w.Conn) == netpeek.Waiting)
+		w.closedIdle.Store(true)
+		if w.cancel != nil {
+			// The server may be about to hand a request over to its handler.
+			w.cancel(&ClosedIdleError{})
+		}
+	}
+	return w.Conn.Close()
+}
+
+// CloseWrite lets the server send what is left before it closes the connection.
+func (w *watchedConn) CloseWrite() error {
+	if half, ok := w.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (w *watchedConn) SyscallConn() (syscall.RawConn, error) {
+	if raw, ok := w.Conn.(syscall.Conn); ok {
+		return raw.SyscallConn()
+	}
+	return nil, errors.WithStack(syscall.EINVAL)
+}
+
+// idle reports whether the server has no request of the connection.
+func (w *watchedConn) idle() bool {
+	state := http.ConnState(w.state.Load())
+	return state == http.StateIdle || state == http.StateNew
+}
+
+// enter takes a change of state from the server.
+func (w *watchedConn) enter(state http.ConnState) {
+	c := w.connections
+	before := http.ConnState(w.state.Swap(int32(state)))
+	if before == http.StateActive {
+		c.active.Add(-1)
+	}
+	switch state {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateActive:
+		c.active.Add(1)
+		w.handled.Store(false)
+	case http.StateIdle:
+		w.received.Store(0)
+		if end(w.ended.Load()) == endOwn {
+			// The server closed it as idle just before it told that it is.
+			w.closedIdle.Store(true)
+		}
+	case http.StateHijacked, http.StateClosed:
+		c.open.Add(-1)
+		w.conclude(before)
+	}
+}
+
+// conclude counts a connection that this process closed while it was idle, or with a
+// request that reached no handler: one that isn't well-formed or didn't come in time, or
+// one that the server read too late during a stop.
+func (w *watchedConn) conclude(last http.ConnState) {
+	unhandled := last == http.StateActive && !w.handled.Load() && end(w.ended.Load()) == endOwn
+	if !unhandled && !w.closedIdle.Load() {
+		return
+	}
+	c := w.connections
+	arriving := unhandled || w.received.Load() > 0 || w.unread.Load()
+	reason := "refused"
+	switch {
+	case c.stopping.Load():
+		reason = "stop"
+	case w.timedOut.Load():
+		reason = "timeout"
+	}
+	c.closedIdle.Add(1)
+	c.closed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason), attribute.Bool("arriving", arriving)))
+	if !arriving {
+		return
+	}
+	c.closedArriving.Add(1)
+	c.logger.Warn().Str("peer", w.RemoteAddr().String()).Str("reason", reason).Int64("received", w.received.Load()).
+		Bool("unread", w.unread.Load()).Str("outcome", "closed with a request arriving").Msg("connection")
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,11 +10,11 @@
 	"sort"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
+
+	"github.com/lagoonlane/lagoonlane/internal/netpeek"
 )
 
 const (
@@ -35,7 +35,9 @@
 	server  string
 	reader  *bufio.Reader
 	expires time.Time
-	once    sync.Once
+	// reused says that it has carried a request before.
+	reused bool
+	once   sync.Once
 }
 
 func newConn(raw net.Conn, server string) *conn {
@@ -53,21 +55,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = control.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
-	})
-	return err == nil && quiet
+	state := netpeek.Look(c.Conn)
+	return state == netpeek.Quiet || state == netpeek.Unknown
 }
 
 // exchange sends a request and reads the head of its answer.
@@ -95,7 +84,7 @@
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
-		return nil, &BrokenError{Address: address, Cause: err}
+		return nil, &BrokenError{Address: address, Reused: c.reused, Cause: err}
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, body: response.Body, closing: response.Close,
@@ -143,6 +132,9 @@
 			return response, nil
 		}
 		stray++
+		if client.options.Stray != nil {
+			client.options.Stray(c.server, request.ID, id)
+		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); !errors.Is(err, io.EOF) {
 			return nil, errors.WithStack(&StrayError{ID: id})
 		}
