Let no process wait for a stalled reader of its logs

A collector that kept its end of the pipe open and no longer read held up processes. Roles of our own interface wrote each line straight to standard error and waited there, also for the line about a signal, so that a stop never came to its end. Roles on the users' platform drop lines instead, but waited for the last ones at their end until they were killed.

--- a/bench/e2e/signal_test.go
+++ b/bench/e2e/signal_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"errors"
 	"os"
 	"path/filepath"
@@ -160,3 +161,55 @@
 		time.Sleep(reloadPause)
 	}
 }
+
+// A collector of logs that no longer read held up the end of the process until it was killed.
+func TestStalledReaderOfLogsHoldsNothingUp(t *testing.T) {
+	s := newPlatformSite(t)
+	s.start(s.sidecar)
+	stall := stallLogs(s.c, s.entry.Process)
+	s.start(s.entry)
+	running := s.open("running")
+	stall()
+	reloadAll(s.c, s.entry.Process)
+	s.c.Assert(s.entry.Terminate(), qt.IsNil)
+	s.whole(running)
+	s.stops(s.entry)
+}
+
+// In the roles of our own interface each line waited for the collector, also those of a stop.
+func TestStalledReaderOfLogsHoldsUpNoRoleOfOurOwn(t *testing.T) {
+	s := newSite(t)
+	process := s.Process("entry-1")
+	s.c.Assert(process.Kill(), qt.IsNil)
+	stall := stallLogs(s.c, process)
+	s.c.Assert(process.Restart(t.Context()), qt.IsNil)
+	s.c.Assert(process.WaitReady(t.Context()), qt.IsNil)
+	stall()
+	reloadAll(s.c, process)
+	s.waitServing()
+	s.c.Assert(process.Terminate(), qt.IsNil)
+	ctx, cancel := context.WithTimeout(t.Context(), operationTimeout)
+	defer cancel()
+	code, err := process.Wait(ctx)
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(code, qt.Equals, 0)
+}
+
+// stallLogs gives the output of a process that starts next to a pipe that nobody reads,
+// and returns what fills the pipe.
+func stallLogs(c *qt.C, p *deploy.Process) (fill func()) {
+	read, write, err := os.Pipe()
+	c.Assert(err, qt.IsNil)
+	p.LogTo(write)
+	c.Cleanup(func() {
+		_ = read.Close()
+		_ = write.Close()
+	})
+	return func() {
+		go func() {
+			// It waits in Write until the reader is closed.
+			_, _ = write.Write(make([]byte, 1<<20))
+		}()
+		time.Sleep(reloadPause)
+	}
+}
--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -85,12 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	droppedLines, err := metrics.Meter.Int64Counter("lagoonlane_log_lines_dropped")
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	out := telemetry.NewLossyWriter(os.Stdout, func(lines int) { droppedLines.Add(context.Background(), int64(lines)) })
-	logger, err := telemetry.NewLogger(out, zerolog.InfoLevel.String(), role, settings.ID)
+	logger, logs, err := telemetry.NewProcessLogger(os.Stdout, zerolog.InfoLevel.String(), role, settings.ID, metrics)
 	if err != nil {
 		return nil, err
 	}
@@ -104,7 +99,7 @@
 	if metricsPort > 0 {
 		settings.Metrics = net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort))
 	}
-	return &node{settings: settings, logger: logger, logs: out, metrics: metrics, internal: http.NewServeMux(), lifecycleLog: life}, nil
+	return &node{settings: settings, logger: logger, logs: logs, metrics: metrics, internal: http.NewServeMux(), lifecycleLog: life}, nil
 }
 
 // listen serves a handler on an address until the node ends.
--- a/cmd/lagoonlane/process.go
+++ b/cmd/lagoonlane/process.go
@@ -30,6 +30,7 @@
 // process is what both roles have in common.
 type process struct {
 	logger   zerolog.Logger
+	logs     io.Closer
 	metrics  *telemetry.Metrics
 	internal *http.ServeMux
 	settings settings.Process
@@ -50,11 +51,11 @@
 }
 
 func newProcess(role string, own settings.Process, logs io.Writer) (*process, error) {
-	logger, err := telemetry.NewLogger(logs, own.LogLevel, role, own.ID)
+	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
 	}
-	metrics, err := telemetry.NewMetrics()
+	logger, closer, err := telemetry.NewProcessLogger(logs, own.LogLevel, role, own.ID, metrics)
 	if err != nil {
 		return nil, err
 	}
@@ -63,6 +64,7 @@
 		return nil, err
 	}
 	return &process{
+		logs:     closer,
 		logger:   logger.With().Str("data_centre", own.DataCentre).Logger(),
 		limiter:  limiter,
 		metrics:  metrics,
@@ -78,7 +80,7 @@
 	group, groupCtx := errgroup.WithContext(background)
 	servers, err := p.startServers(group, life)
 	if err != nil {
-		return err
+		return firstError(err, p.logs.Close())
 	}
 	for _, run := range life.background {
 		group.Go(func() error { return untilDone(groupCtx, run) })
@@ -93,7 +95,7 @@
 	stop()
 	err = group.Wait()
 	p.logger.Info().Msg("stopped")
-	return err
+	return firstError(err, p.logs.Close())
 }
 
 // untilDone runs background work. That it ended because ctx is done is no failure.
