Read a refused request to its end before its connection closes

Callers saw: a broken connection instead of a refusal (503 of a busy or stopping entry, 413) when they were still sending a long body.

Cause: a refusal is written before the body is read. net/http reads 256 KiB of the rest at most and closes the connection 0.5 s later; the caller's next bytes meet a closed socket, and the reset takes the refusal with it.

With the change all pass (go test -race -count 5 ./internal/callerconn).

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -19,7 +19,11 @@
 //   - Of two requests that were sent without waiting for the first answer, the second may
 //     be dropped, as the first answer says that the connection closes.
 //
-// The same look is taken before a connection is closed for having been idle too long.
+// The same look is taken before a connection is closed for having been idle too long. An
+// answer that is given before the request's body was read, such as a refusal, isn't lost
+// by closing the connection while the caller still sends: the rest is read first, within
+// bounds of time and size.
+//
 // It knows nothing of what requests mean.
 package callerconn
 
@@ -91,7 +95,7 @@
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		handler.ServeHTTP(w, r)
+		serveWhole(handler, w, r)
 	})
 	return s
 }
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -106,6 +106,19 @@
 
 func (s *stand) answer(w http.ResponseWriter, r *http.Request) {
 	s.served.Add(1)
+	if r.URL.RawQuery == "close" {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/refuse" {
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	if r.URL.Path == "/limit" {
+		_, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<10))
+		qt.Check(s.c, err, qt.IsNotNil)
+		http.Error(w, "too large", http.StatusRequestEntityTooLarge)
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	if r.URL.Path == "/stream" {
 		_ = http.NewResponseController(w).Flush()
@@ -347,3 +360,46 @@
 	callers.Wait()
 	s.c.Assert(answered.Load(), qt.Equals, s.served.Load())
 }
+
+// TestRefusalOutlivesTheBody guards against a refusal that is lost with its connection, as
+// the rest of the request's body meets a closed socket.
+func TestRefusalOutlivesTheBody(t *testing.T) {
+	for _, path := range []string{"/refuse", "/refuse?close", "/limit", "/limit?close"} {
+		for _, size := range []int{2 << 10, 60 << 10, 300 << 10, 2 << 20} {
+			for _, chunked := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %d bytes, chunked %t", path, size, chunked), func(t *testing.T) {
+					t.Parallel()
+					newStand(t).dial().refusedWhileSending(path, size, chunked)
+				})
+			}
+		}
+	}
+}
+
+// refusedWhileSending sends a body over most of a second, reads the answer only then, and
+// expects a refusal.
+func (o *caller) refusedWhileSending(path string, size int, chunked bool) {
+	const parts = 4
+	length := fmt.Sprint("Content-Length: ", size)
+	if chunked {
+		length = "Transfer-Encoding: chunked"
+	}
+	_, err := fmt.Fprintf(o.Conn, "POST %s HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n", path, length)
+	o.c.Assert(err, qt.IsNil)
+	part := strings.Repeat("x", size/parts)
+	for i := range parts {
+		time.Sleep(2 * settle)
+		text := part
+		if chunked {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+			if i == parts-1 {
+				text += "0\r\n\r\n"
+			}
+		}
+		_, err := io.WriteString(o.Conn, text)
+		o.c.Assert(err, qt.IsNil)
+	}
+	response, _, err := o.receive()
+	o.c.Assert(err, qt.IsNil)
+	o.c.Assert(response.StatusCode >= http.StatusBadRequest, qt.IsTrue)
+}
