Stop the public server of the product's own entry without losing requests

It now serves callers by callerconn.Server. The servers between processes stay as they are: a sidecar waits for all granted slots before it closes them, and what may cross the close then (reserving a slot) has not run.

--- a/cmd/lagoonlane/process.go
+++ b/cmd/lagoonlane/process.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonlane/lagoonlane/internal/callerconn"
 	"github.com/lagoonlane/lagoonlane/internal/settings"
 	"github.com/lagoonlane/lagoonlane/internal/telemetry"
 	"github.com/lagoonlane/lagoonlane/internal/transport"
@@ -37,6 +38,12 @@
 	draining atomic.Bool
 }
 
+// drainServer is a server that ends its connections as they come to rest.
+type drainServer interface {
+	listenServer
+	Shutdown(ctx context.Context) error
+}
+
 // lifecycle is what differs between the roles.
 type lifecycle struct {
 	// ready reports whether the process can serve.
@@ -106,26 +113,27 @@
 }
 
 // startServers opens the listeners and serves them in the group.
-func (p *process) startServers(group *errgroup.Group, life lifecycle) ([]*http.Server, error) {
+func (p *process) startServers(group *errgroup.Group, life lifecycle) ([]drainServer, error) {
 	internal := transport.NewInternalServer(p.internalHandler(life.ready))
 	internal.ErrorLog = p.limiter.ServerErrors(p.logger, "internal")
 	if err := startServer(group, internal, p.settings.Internal); err != nil {
 		return nil, err
 	}
 	if life.public == nil {
-		return []*http.Server{internal}, nil
+		return []drainServer{internal}, nil
 	}
-	public := transport.NewPublicServer(p.publicHandler(life))
-	public.ErrorLog = p.limiter.ServerErrors(p.logger, "public")
+	front := transport.NewPublicServer(p.publicHandler(life))
+	front.ErrorLog = p.limiter.ServerErrors(p.logger, "public")
+	public := callerconn.NewServer(front)
 	if err := startServer(group, public, p.settings.Public); err != nil {
 		_ = internal.Close()
 		_ = group.Wait()
 		return nil, err
 	}
-	return []*http.Server{public, internal}, nil
+	return []drainServer{public, internal}, nil
 }
 
-func startServer(group *errgroup.Group, server *http.Server, address string) error {
+func startServer(group *errgroup.Group, server listenServer, address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return pkgerrors.WithStack(&ListenError{Address: address, Cause: err})
@@ -141,7 +149,7 @@
 }
 
 // shutDown refuses new work, waits for the running one and closes the servers.
-func (p *process) shutDown(ctx context.Context, life lifecycle, servers []*http.Server) {
+func (p *process) shutDown(ctx context.Context, life lifecycle, servers []drainServer) {
 	p.draining.Store(true)
 	p.logger.Info().Msg("draining")
 	bounded, cancel := context.WithTimeout(ctx, time.Duration(p.settings.DrainTimeout))
