--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -34,7 +34,9 @@
 	Entry         *machine
 	Incarnation   int
 	// Version is that of the route asked for, for calls of kind "version".
-	Version     int
+	Version int
+	// Padding is the length of the body besides a few words.
+	Padding     int
 	Tokens      int
 	Patience    time.Duration
 	Sent, Ended time.Time
@@ -70,7 +72,8 @@
 		all.Go(func() { c.watch(ctx, i, entry) })
 	}
 	for i := range callers {
-		all.Go(func() { c.behave(ctx, rand.New(rand.NewPCG(c.w.options.Seed, uint64(1000+i)))) })
+		random := rand.New(rand.NewPCG(c.w.options.Seed, uint64(1000+i)))
+		all.Go(func() { c.behave(ctx, random, i%2 == 0) })
 	}
 	all.Wait()
 }
@@ -101,8 +104,9 @@
 	}
 }
 
-// behave is one caller: it keeps its connection to an entry until that breaks.
-func (c *crowd) behave(ctx context.Context, random *rand.Rand) {
+// behave is one caller: it keeps its connection to an entry until that breaks or, unless
+// the caller is one that clings to it, until it is refused there.
+func (c *crowd) behave(ctx context.Context, random *rand.Rand, clings bool) {
 	var transport *http.Transport
 	at := -1
 	for ctx.Err() == nil {
@@ -118,7 +122,7 @@
 		c.mu.Lock()
 		c.calls = append(c.calls, one)
 		c.mu.Unlock()
-		if one.Err != nil || one.Status == http.StatusServiceUnavailable {
+		if one.Err != nil || !clings && one.Status == http.StatusServiceUnavailable {
 			transport.CloseIdleConnections()
 			at = -1
 		}
@@ -182,7 +186,7 @@
 		ask.PromptTokens, ask.OutputTokens = one.Tokens-100, 100
 	}
 	// A POST is never sent twice by the transport itself.
-	body := strings.NewReader("payload of " + one.ID)
+	body := strings.NewReader("payload of " + one.ID + strings.Repeat(".", one.Padding))
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+one.Entry.Front+"/"+path+"/x", body)
 	if err != nil {
 		one.Err = err
--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -31,6 +31,9 @@
 const (
 	// memoryPart is the part of the machine's memory that the garbage collector keeps to.
 	memoryPart = 0.6
+	// heldPart is the part of the machine's memory for bodies and answers that are held
+	// whole: what is left of memoryPart serves connections, buffers and configuration.
+	heldPart = 0.2
 	// configurationWaitPart and serversWaitPart are how long one read of the store waits
 	// for news, in parts of the bounds on configuration changes and on draining: a
 	// connection that went silent is found within the rest.
@@ -117,6 +120,7 @@
 	n.servers = append(n.servers, server)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.logger.Error().Str("address", address).Err(err).Str("outcome", "no longer served").Msg("listener")
 			return errors.WithStack(err)
 		}
 		return nil
@@ -134,16 +138,27 @@
 	return n.listen(group, n.prepared(transport.NewInternalServer(page), "metrics"), n.settings.Metrics)
 }
 
-// run serves until ctx is done, then lets leave end what is running.
+// run serves until ctx is done or a part of the role fails, then lets leave end what is running.
 func (n *node) run(ctx context.Context, group *errgroup.Group, groupCtx context.Context, stop context.CancelFunc, work []runFunc, leave func(context.Context)) error {
 	for _, run := range work {
-		group.Go(func() error { return untilDone(groupCtx, run) })
+		group.Go(func() error {
+			err := untilDone(groupCtx, run)
+			if err != nil {
+				n.logger.Error().Err(err).Str("outcome", "ended").Msg("background work")
+			}
+			return err
+		})
 	}
 	n.started()
-	<-ctx.Done()
+	ended := ctx
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+		ended = groupCtx
+	}
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.ShutdownGrace-exitMargin)
 	defer cancel()
-	n.stopping(ctx)
+	n.stopping(ended)
 	leave(bounded)
 	n.cutRunning()
 	for _, server := range n.servers {
@@ -153,7 +168,7 @@
 	}
 	stop()
 	err := group.Wait()
-	n.stopped()
+	n.stopped(err)
 	return errors.WithMessage(firstError(err, n.logs.Close()), "platform role")
 }
 
@@ -174,9 +189,10 @@
 	}
 	signals.attach(n.logger, n.reload)
 	server := slots.NewServer(slots.ServerOptions{
-		Queue:  admission.NewSlotQueue(admission.SlotOptions{}),
-		Probe:  platform.NewEngineProbe(n.settings.Engine),
-		Logger: n.logger,
+		Queue:   admission.NewSlotQueue(admission.SlotOptions{}),
+		Probe:   platform.NewEngineProbe(n.settings.Engine),
+		Logger:  n.logger,
+		Limiter: n.limiter,
 	})
 	n.internal.Handle("GET "+slots.Path, server)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -211,8 +227,13 @@
 	holder := &fleet.Holder{}
 	e.configuration = platform.NewConfigurationSource(holder, n.logger)
 	codec := platform.Codec{}
+	strays := n.limiter.Logger(n.logger, "stray answer")
 	e.upstream = upstream.New(upstream.Options{
 		IDOf: func(h http.Header) string { return codec.DecodeAnswer(h).RequestID },
+		Stray: func(server, sent, answered string) {
+			strays.Warn().Str("request_id", sent).Str("backend_server", server).Str("answered", answered).
+				Str("outcome", "passed over").Msg("stray answer")
+		},
 	})
 	e.servers = platform.NewServerSource(e.directory, n.logger)
 	e.servers.Gone = e.upstream.Forget
@@ -225,17 +246,20 @@
 		Confirm:       e.configuration.Confirm,
 		Logger:        n.logger,
 	})
+	sidecars := slots.NewClient(nil)
+	sidecars.Logger = n.limiter.Logger(n.logger, "slot connection")
 	bounds := n.settings.Bounds
 	e.gateway, err = gateway.New(gateway.Options{
 		DataCentre: n.settings.DataCentre, Codec: codec, Manifest: holder, Directory: e.directory,
-		Upstream: e.upstream, Slots: slots.NewClient(nil),
+		Upstream: e.upstream, Slots: sidecars,
 		SlotAddress: gateway.SlotAddress(strconv.Itoa(n.settings.InternalPort)),
 		Lateness:    e.lateness, Entries: e.roster.Entries, Limits: pool,
 		Bounds: gateway.Bounds{
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
 		},
-		Logger: n.logger, Meter: n.metrics.Meter, Requests: n.requests,
+		HeldBytes: int64(heldPart * float64(n.settings.MemoryBytes)),
+		Logger:    n.logger, Meter: n.metrics.Meter, Limiter: n.limiter, Requests: n.requests,
 	})
 	return e, err
 }
@@ -285,7 +309,9 @@
 func (e *entryNode) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !e.gateway.Ready() {
+		reason := e.gateway.NotReady()
+		e.readinessTold(reason)
+		if reason != "" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -13,8 +14,10 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
+	"github.com/lagoonlane/lagoonlane/internal/telemetry"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
 
@@ -24,6 +27,8 @@
 	shortCall = 1500 * time.Millisecond
 	// cautiousTokenTime is the time for one output token at a slow engine.
 	cautiousTokenTime = 10 * time.Millisecond
+	// defaultHeldBytes is for processes that don't know how much memory they have.
+	defaultHeldBytes = 256 << 20
 )
 
 // Bounds are the limits that the deployment sets.
@@ -35,7 +40,7 @@
 	Retries      RetryBounds
 }
 
-// Options configure a Gateway. All but Meter, Lateness and Requests are required.
+// Options configure a Gateway. All but Meter, Lateness, Limiter and Requests are required.
 type Options struct {
 	DataCentre string
 	Codec      Codec
@@ -51,8 +56,13 @@
 	Entries func() int
 	Limits  *limit.Pool
 	Bounds  Bounds
-	Logger  zerolog.Logger
-	Meter   metric.Meter
+	// HeldBytes bounds the bodies and answers that are held for all requests together; 0
+	// means defaultHeldBytes.
+	HeldBytes int64
+	Logger    zerolog.Logger
+	Meter     metric.Meter
+	// Limiter bounds the lines that a fault could repeat; may be nil.
+	Limiter *telemetry.Limiter
 	// Requests gets the requests that run; nil: the gateway counts for itself.
 	Requests *Requests
 }
@@ -61,9 +71,12 @@
 type Gateway struct {
 	options Options
 	logger  zerolog.Logger
+	// lines is the logger for what a fault may repeat.
+	lines   zerolog.Logger
 	metrics *metrics
 	servers *serverTable
 	retries *retryBudget
+	held    *membudget.Budget
 	// leaving is when every call must have ended (Unix nanoseconds of the wall clock);
 	// 0: the gateway isn't leaving.
 	leaving atomic.Int64
@@ -77,11 +90,13 @@
 	g := &Gateway{
 		options: options,
 		logger:  options.Logger,
+		lines:   options.Limiter.Logger(options.Logger, "gateway"),
 		servers: newServerTable(options.DataCentre),
 		retries: newRetryBudget(options.Bounds.Retries),
+		held:    membudget.New(cmp.Or(options.HeldBytes, defaultHeldBytes)),
 	}
 	var err error
-	g.metrics, err = newMetrics(options.Meter, g.delay, options.Requests)
+	g.metrics, err = newMetrics(options.Meter, g.delay, g.held.Used, options.Requests)
 	return g, err
 }
 
@@ -90,12 +105,24 @@
 // Ready reports whether callers can be served: configuration and backend servers are
 // known, the configuration is recent enough to check keys for a while, and there is
 // processor time for more callers.
-func (g *Gateway) Ready() bool {
+func (g *Gateway) Ready() bool { return g.NotReady() == "" }
+
+// NotReady says why callers can't be served; empty: they can.
+func (g *Gateway) NotReady() string {
 	manifest, confirmed := g.options.Manifest.Current()
-	if g.leaving.Load() != 0 || manifest == nil || !g.options.Directory.Loaded() || g.overloaded() {
-		return false
+	switch {
+	case g.leaving.Load() != 0:
+		return "stopping"
+	case manifest == nil:
+		return "no configuration yet"
+	case !g.options.Directory.Loaded():
+		return "no backend servers known yet"
+	case g.overloaded():
+		return "short of processor time"
+	case manifest.HasAccounts && steady.Since(confirmed) >= g.options.Bounds.RevokeWithin/2:
+		return "the configuration may be out of date"
 	}
-	return !manifest.HasAccounts || steady.Since(confirmed) < g.options.Bounds.RevokeWithin/2
+	return ""
 }
 
 // Leave makes every answer from now on close its connection, and refuses requests
@@ -126,6 +153,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	one, failure := g.accept(w, r)
+	defer one.hold.Release()
+	defer g.crashed(one)
 	if failure == nil {
 		failure = g.mayFinish(one)
 	}
@@ -171,6 +200,7 @@
 
 // conclude writes the final answer, if the caller has none yet, and the log line.
 func (g *Gateway) conclude(w http.ResponseWriter, r *http.Request, one *call, p *progress, failure *Failure) {
+	one.concluded = true
 	took := steady.Since(one.arrived)
 	g.metrics.concluded(one, p, failure, took)
 	g.log(one, p, failure, took)
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/lagoonlane/lagoonlane/internal/admission"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
@@ -52,11 +54,15 @@
 	cancel context.CancelCauseFunc
 	// tried holds the backend servers that may not be chosen.
 	tried map[string]bool
-	// gap is how long a pause between two events may be.
-	gap time.Duration
+	// server is the backend server that is watched.
+	server string
+	// first is how long the first event may take, gap how long a pause between two.
+	first, gap time.Duration
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// heard is when the last event came, or when the request was sent.
+	heard time.Time
 	// events counts the signs of progress. A place that was looked for before the last
 	// one is given back.
 	events int
@@ -74,12 +80,13 @@
 	}
 	w := &stallWatch{
 		g: g, one: one, parent: ctx, tried: maps.Clone(p.tried),
-		gap: max(minStallGap, stallGaps*one.route.MaxEventGap),
+		server: p.server, first: g.firstStall(one), gap: max(minStallGap, stallGaps*one.route.MaxEventGap),
+		heard: time.Now(),
 	}
 	ctx, w.cancel = context.WithCancelCause(ctx)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(g.firstStall(one), w.look)
+	w.timer = time.AfterFunc(w.first, w.look)
 	return ctx, w
 }
 
@@ -119,15 +126,25 @@
 		failure = errNoRepeat
 	}
 	if failure != nil {
-		w.g.logger.Info().Str("request_id", w.one.info.ID).Int("events", events).
-			Str("outcome", "kept").Str("reason", failure.Detail).Msg("stall")
+		w.log().Str("outcome", "kept").Str("reason", failure.Detail).Msg("stall")
 		w.timer.Reset(w.gap)
 		return
 	}
+	w.log().Str("outcome", "moved").Str("to", at.server.ID).Msg("stall")
 	w.ended, w.next = true, at
 	w.cancel(errStalled)
 }
 
+// log begins the line for a pause that was too long. The caller holds mu.
+func (w *stallWatch) log() *zerolog.Event {
+	limit := w.gap
+	if w.events == 0 {
+		limit = w.first
+	}
+	return w.g.logger.Info().Str("request_id", w.one.info.ID).Str("backend_server", w.server).Int("events", w.events).
+		Dur("pause_ms", time.Since(w.heard)).Dur("limit_ms", limit).Dur("time_left_ms", steady.Until(w.one.deadline))
+}
+
 // errNoRepeat is why a stalled request stays although there is a place for it.
 var errNoRepeat = unavailable(KindNoServer, defaultRetryAfter, "the retry budget is used up")
 
@@ -162,6 +179,7 @@
 		return
 	}
 	w.events++
+	w.heard = time.Now()
 	if w.endLook != nil {
 		w.endLook()
 		w.endLook = nil
