Bound every reader of bytes of other processes

Cause, by reading: an answer of the store beyond 8 MiB, of another entry beyond 4 MiB and of the entry's own services beyond their limits was cut there, and what was left was taken for all of it (records of a read; a configuration that then failed to parse); bytes of a read that are no record let a follower ask again at once, without end; pages of a list that always has more were gathered without end; messages between entry and sidecar had no bound in either direction, nor had the sidecar's answer to the upgrade; lagoonctl read any answer to its end; heads of answers could be the 10 MiB of net/http.

--- a/cmd/lagoonctl/client.go
+++ b/cmd/lagoonctl/client.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -15,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/operatorapi"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/configpb"
 )
@@ -26,6 +26,8 @@
 	retryDelay     = 500 * time.Millisecond
 	requestTimeout = 75 * time.Second
 	operationBytes = 8
+	// maxAnswerBytes bounds an answer: the longest lists are some MiB.
+	maxAnswerBytes = 16 << 20
 )
 
 // client speaks to the operator API of an entry.
@@ -36,7 +38,10 @@
 }
 
 func newClient(base, key string) *client {
-	return &client{base: strings.TrimRight(base, "/"), key: key, http: &http.Client{Timeout: requestTimeout}}
+	return &client{base: strings.TrimRight(base, "/"), key: key, http: &http.Client{
+		Timeout:   requestTimeout,
+		Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: bounded.MaxHeadBytes},
+	}}
 }
 
 // request is one request, which is sent again under the same operation id.
@@ -135,7 +140,7 @@
 		return nil, errors.WithStack(&NoAnswerError{Operation: r.operation, Cause: err})
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, errors.WithStack(&NoAnswerError{Operation: r.operation, Cause: err})
 	}
--- a/cmd/lagoonlane/process.go
+++ b/cmd/lagoonlane/process.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/settings"
 	"github.com/lagoonlane/lagoonlane/internal/telemetry"
 	"github.com/lagoonlane/lagoonlane/internal/transport"
@@ -197,6 +198,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: platformIdleConns,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 	}}
 }
 
--- /dev/null
+++ b/internal/bounded/boundedtest/boundedtest.go
@@ -0,0 +1,80 @@
+// Package boundedtest plays servers that send bytes without end, for tests.
+package boundedtest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+const (
+	// enough is what a server sends that would send without end: more than any reader takes.
+	enough = 256 << 20
+	// SocketBytes is what the buffers of two sockets take at most with the usual settings
+	// of Linux (tcp_rmem, tcp_wmem) beside what the reader has read.
+	SocketBytes = 48 << 20
+)
+
+// Server answers every request with the same bytes, of which the last come on and on.
+type Server struct {
+	Address string
+	// Sent is the number of bytes that it got rid of.
+	Sent atomic.Int64
+}
+
+// Serve starts a server on loopback that ends with the test.
+func Serve(t testing.TB, begin, repeat string) *Server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &Server{Address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.answer(conn, begin, repeat)
+		}
+	}()
+	return s
+}
+
+func (s *Server) answer(conn net.Conn, begin, repeat string) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	block := strings.Repeat(repeat, 1+(64<<10)/len(repeat))
+	_, err = io.WriteString(conn, begin)
+	for err == nil && s.Sent.Load() < enough {
+		var n int
+		n, err = io.WriteString(conn, block)
+		s.Sent.Add(int64(n))
+	}
+}
+
+// Answers are the beginnings of answers of HTTP, by the part that has no end, with what
+// comes on and on.
+func Answers() map[string][2]string {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	return map[string][2]string{
+		"status line": {"HTTP/1.1 200 ", "O"},
+		"headers":     {head, "X: y\r\n"},
+		"interim":     {"", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+		"body":        {head + "\r\n", " "},
+		"text":        {head + "\r\n{\"a\":\"", "x"},
+		"chunks":      {head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat(" ", 1024) + "\r\n"},
+		"failure":     {strings.Replace(head, "200 OK", "500 X", 1) + "\r\n", "x"},
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lagoonlane/lagoonlane/internal/membudget"
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
@@ -155,7 +155,7 @@
 // readAnswer reads the body of an answer that is held whole.
 func readAnswer(one *call, answer *upstream.Answer) ([]byte, error) {
 	body, err := one.hold.ReadAll(answer, answer.Length, maxReplyBytes)
-	var large *membudget.TooLargeError
+	var large *bounded.TooLargeError
 	if errors.As(err, &large) {
 		return nil, errors.WithStack(&upstream.ExcessError{Kind: upstream.ExcessBody, Read: answer.BytesRead(), Limit: large.Limit})
 	}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -9,6 +9,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 )
 
 const (
@@ -37,11 +39,6 @@
 	return fmt.Sprintf("no memory for %d bytes beside %d: %d of %d are held", e.Asked, e.Held, e.Used, e.Total)
 }
 
-// TooLargeError says that a body is longer than it may be.
-type TooLargeError struct{ Limit int64 }
-
-func (e *TooLargeError) Error() string { return fmt.Sprintf("more than %d bytes", e.Limit) }
-
 // Budget is what all holders share. It is safe for concurrent use.
 type Budget struct {
 	total int64
@@ -94,10 +91,10 @@
 
 // ReadAll reads a body to its end into bytes of the holder. Length is what it is
 // announced to have, if positive; limit bounds it, if positive. Beside the reader's
-// errors it fails with *TooLargeError or *ExhaustedError.
+// errors it fails with *bounded.TooLargeError or *ExhaustedError.
 func (h *Hold) ReadAll(r io.Reader, length, limit int64) ([]byte, error) {
 	if limit > 0 && length > limit {
-		return nil, errors.WithStack(&TooLargeError{Limit: limit})
+		return nil, errors.WithStack(&bounded.TooLargeError{Limit: limit})
 	}
 	var body []byte
 	for {
@@ -116,7 +113,7 @@
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if limit > 0 && int64(len(body)) > limit {
-			return nil, errors.WithStack(&TooLargeError{Limit: limit})
+			return nil, errors.WithStack(&bounded.TooLargeError{Limit: limit})
 		}
 		if errors.Is(err, io.EOF) {
 			return body, nil
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/membudget"
 )
 
@@ -38,7 +39,7 @@
 
 func TestBodyBeyondItsLimitIsLeft(t *testing.T) {
 	c := qt.New(t)
-	var large *membudget.TooLargeError
+	var large *bounded.TooLargeError
 	_, err := membudget.New(1<<20).Hold().ReadAll(strings.NewReader("12345"), -1, 4)
 	c.Assert(errors.As(err, &large), qt.IsTrue)
 	_, err = membudget.New(1<<20).Hold().ReadAll(nil, 5, 4)
--- a/internal/platform/answer.go
+++ b/internal/platform/answer.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 )
 
 // Limits on what is read of a platform service's answer.
@@ -30,7 +32,7 @@
 
 // decodeJSON reads a JSON answer. It fails with *ProtocolError.
 func decodeJSON(service string, resp *http.Response, into any) error {
-	err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(into)
+	err := json.NewDecoder(bounded.NewReader(resp.Body, maxAnswerBytes)).Decode(into)
 	if err != nil {
 		return errors.WithStack(&ProtocolError{Service: service, Status: resp.StatusCode, Detail: err.Error()})
 	}
--- /dev/null
+++ b/internal/platform/endless_test.go
@@ -0,0 +1,32 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
+	"github.com/lagoonlane/lagoonlane/internal/bounded/boundedtest"
+)
+
+// Services whose answers have no end give none.
+func TestEndlessAnswerIsNone(t *testing.T) {
+	for name, bytes := range boundedtest.Answers() {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server := boundedtest.Serve(t, bytes[0], bytes[1])
+			client := &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: bounded.MaxHeadBytes}}
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			base := "http://" + server.Address
+			// All answers of JSON are read by one function.
+			_, err := NewHTTPLog(base, client).Read(ctx, "s", 0, 10, 0)
+			c.Assert(err, qt.Not(qt.IsNil))
+			c.Assert(ctx.Err(), qt.IsNil)
+			c.Assert(server.Sent.Load() < 64<<20+boundedtest.SocketBytes, qt.IsTrue)
+		})
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -14,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
@@ -273,7 +273,7 @@
 		return nil, errors.Wrap(err, "roster call")
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	data, err := bounded.ReadAll(response.Body, maxMessageBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "roster answer")
 	}
@@ -340,7 +340,7 @@
 
 func (r *Roster) serveExchange(w http.ResponseWriter, request *http.Request) {
 	var told message
-	if err := json.NewDecoder(io.LimitReader(request.Body, maxMessageBytes)).Decode(&told); err != nil {
+	if err := json.NewDecoder(bounded.NewReader(request.Body, maxMessageBytes)).Decode(&told); err != nil {
 		http.Error(w, "the message can't be read: "+err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -12,6 +12,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
+	"github.com/lagoonlane/lagoonlane/internal/bounded/boundedtest"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/roster"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
@@ -125,3 +127,31 @@
 	go a.Run(ctx)
 	eventually(c, "the one that is gone doesn't count", func() bool { return a.Entries() == 2 })
 }
+
+// Another entry whose messages have no end is silent: nothing of it is taken over.
+func TestEndlessEntryIsSilent(t *testing.T) {
+	for name, bytes := range map[string][2]string{
+		"headers": {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		"body":    {"HTTP/1.1 200 OK\r\n\r\n", " "},
+		"text":    {"HTTP/1.1 200 OK\r\n\r\n{\"id\":\"", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server := boundedtest.Serve(t, bytes[0], bytes[1])
+			client := &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: bounded.MaxHeadBytes}}
+			defer client.CloseIdleConnections()
+			offered := make(chan []byte, 1)
+			r := roster.New(roster.Options{
+				ID: "a", Address: "127.0.0.1:1", Boot: "a", Client: client, Pool: limit.NewPool(time.Now()), Logger: zerolog.Nop(),
+				Configuration: func() roster.Configuration { return roster.Configuration{} },
+				Offer:         func(raw []byte) { offered <- raw }, Confirm: func(int64, time.Time) {},
+			})
+			r.Learn("b", server.Address)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_ = r.Run(ctx)
+			c.Assert(offered, qt.HasLen, 0)
+			c.Assert(server.Sent.Load() < 100<<20, qt.IsTrue, qt.Commentf("%d", server.Sent.Load()))
+		})
+	}
+}
--- a/internal/slots/client.go
+++ b/internal/slots/client.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -162,7 +164,8 @@
 	if err := request.Write(conn); err != nil {
 		return nil, errors.Wrap(err, "upgrade request")
 	}
-	reader := bufio.NewReader(conn)
+	head := &io.LimitedReader{R: conn, N: maxUpgradeBytes}
+	reader := bufio.NewReader(head)
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
 		return nil, errors.Wrap(err, "upgrade answer")
@@ -173,6 +176,7 @@
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return nil, errors.Wrap(err, "deadline")
 	}
+	head.N = math.MaxInt64
 	return newLink(conn, reader), nil
 }
 
--- /dev/null
+++ b/internal/slots/endless_test.go
@@ -0,0 +1,76 @@
+package slots_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/bounded/boundedtest"
+	"github.com/lagoonlane/lagoonlane/internal/slots"
+)
+
+// tolerated is what may be sent of a message without end: its limit and the sockets' buffers.
+const tolerated = 2<<20 + boundedtest.SocketBytes
+
+// A sidecar that sends bytes without end is unreachable, and its bytes aren't kept.
+func TestEndlessSidecarIsUnreachable(t *testing.T) {
+	const upgraded = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: lane-slots\r\n\r\n"
+	answers := boundedtest.Answers()
+	answers["message"] = [2]string{upgraded + `{"kind":"`, "x"}
+	answers["blanks"] = [2]string{upgraded, " "}
+	answers["numbers"] = [2]string{upgraded, "1"}
+	for name, bytes := range answers {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server := boundedtest.Serve(t, bytes[0], bytes[1])
+			client := slots.NewClient(nil)
+			defer client.Close()
+			began := time.Now()
+			_, err := client.Acquire(t.Context(), server.Address, ask("a"), nil)
+			var unreachable *slots.UnreachableError
+			c.Assert(errors.As(err, &unreachable), qt.IsTrue, qt.Commentf("%v", err))
+			c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
+			c.Assert(server.Sent.Load() < tolerated, qt.IsTrue, qt.Commentf("%d", server.Sent.Load()))
+		})
+	}
+}
+
+// An entry that sends a message without end is cut off, and its slots are free.
+func TestEndlessEntryIsCutOff(t *testing.T) {
+	for name, text := range map[string]string{"message": `{"kind":"` + strings.Repeat("x", 100), "blanks": strings.Repeat(" ", 100)} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newSide(t)
+			conn, err := net.Dial("tcp", s.address)
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: lane-slots\r\n\r\n", slots.Path)
+			fmt.Fprintln(conn, `{"kind":"ask","ticket":1,"ask":{"request_id":"a","budget_ms":60000,"slots":1}}`)
+			eventually(c, "the slot is held", func() bool { return s.queue.Load().Running == 1 })
+			_, err = io.WriteString(conn, text)
+			sent := len(text)
+			for block := strings.Repeat(text[len(text)-1:], 64<<10); err == nil && sent < 4*tolerated; sent += len(block) {
+				_, err = io.WriteString(conn, block)
+			}
+			c.Assert(err, qt.Not(qt.IsNil))
+			c.Assert(sent < tolerated, qt.IsTrue)
+			eventually(c, "the slot is free", func() bool { return s.queue.Load().Running == 0 })
+		})
+	}
+}
+
+// A request id of four times the headers that manifests usually allow must not end the
+// connection that all requests to a sidecar share.
+func TestLongRequestIDIsNoExcess(t *testing.T) {
+	c := qt.New(t)
+	s := newSide(t)
+	lease, err := s.client.Acquire(t.Context(), s.address, ask(strings.Repeat("<", 64<<10)), nil)
+	c.Assert(err, qt.IsNil)
+	lease.Abandon()
+}
--- a/internal/slots/link.go
+++ b/internal/slots/link.go
@@ -6,11 +6,15 @@
 	"io"
 	"net"
 	"sync"
+
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 )
 
 // link is one connection between an entry and a sidecar. One goroutine writes, one reads.
 type link struct {
-	conn   net.Conn
+	conn net.Conn
+	// in bounds the bytes of each message.
+	in     *bounded.Reader
 	reader *json.Decoder
 	unsent chan *message
 	closed chan struct{}
@@ -19,8 +23,9 @@
 
 // newLink takes over a connection; buffered holds what was read of it already.
 func newLink(conn net.Conn, buffered io.Reader) *link {
+	in := bounded.NewReader(buffered, maxMessageBytes)
 	l := &link{
-		conn: conn, reader: json.NewDecoder(buffered),
+		conn: conn, in: in, reader: json.NewDecoder(in),
 		unsent: make(chan *message, maxUnsentMessages), closed: make(chan struct{}),
 	}
 	go l.write()
@@ -64,8 +69,9 @@
 	}
 }
 
-// read returns the next message.
+// read returns the next message. It fails with *bounded.TooLargeError beyond maxMessageBytes.
 func (l *link) read() (*message, error) {
+	l.in.Reset()
 	m := &message{}
 	return m, l.reader.Decode(m)
 }
--- a/internal/slots/message.go
+++ b/internal/slots/message.go
@@ -24,6 +24,11 @@
 	silenceLimit = 4 * time.Second
 	// idleLimit closes connections without tickets.
 	idleLimit = 15 * time.Second
+	// maxMessageBytes bounds a message: its longest part is the request id, which a caller
+	// chooses within its headers (256 KiB at most, six times that as JSON).
+	maxMessageBytes = 2 << 20
+	// maxUpgradeBytes bounds the answer to an upgrade, which is some hundred bytes.
+	maxUpgradeBytes = 16 << 10
 	// maxUnsentMessages on one connection mean that the other side doesn't read.
 	maxUnsentMessages = 4096
 )
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 )
 
 // Limits of connections between processes.
@@ -47,6 +49,8 @@
 		DialContext:     dial,
 		Protocols:       protocols,
 		IdleConnTimeout: peerIdleTimeout,
+
+		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingInterval,
 			PingTimeout:     pingTimeout,
