Roster: read an entry's address under the lock

Seen: go test -race -run TellEachOther ./internal/roster, 10 processes at the same time, 12 runs each: a data race in 1 of 120 runs (and once in a run of several packages). A call read the address of an entry while the answer of another call wrote it: a torn address would send one exchange nowhere.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -213,7 +213,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked, askedSteady := time.Now(), steady.Now()
-	answer, err := r.exchange(ctx, m.address)
+	address := r.addressOf(m)
+	answer, err := r.exchange(ctx, address)
 	r.mu.Lock()
 	m.calling = false
 	changed := m.lost != (err != nil)
@@ -233,13 +234,20 @@
 	mine := r.options.Configuration()
 	switch {
 	case answer.Version > mine.Version:
-		r.fetch(ctx, m.address)
+		r.fetch(ctx, address)
 	case answer.Version == mine.Version && answer.ConfirmedAgeMS >= 0:
 		// The answer was made after the call, so this errs on the safe side.
 		r.options.Confirm(answer.Version, askedSteady.Add(-milliseconds(answer.ConfirmedAgeMS)))
 	}
 }
 
+// addressOf returns the address of an entry, which other calls may change meanwhile.
+func (r *Roster) addressOf(m *member) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return m.address
+}
+
 func (r *Roster) exchange(ctx context.Context, address string) (*message, error) {
 	body, err := json.Marshal(r.message())
 	if err != nil {
