Bound messages between processes that are read whole

A call between sidecars, entries and daemons (twirp, JSON) read the other side's request and answer to their ends, whatever their lengths.

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -20,6 +20,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/config"
 	"github.com/lagoonlane/lagoonlane/internal/health"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
+	"github.com/lagoonlane/lagoonlane/internal/transport"
 )
 
 // RecordSource holds the records of the configuration stream of this process.
@@ -125,7 +126,7 @@
 // Register serves Peer on a mux.
 func (n *Node) Register(mux *http.ServeMux) {
 	server := lanepb.NewPeerServer(n)
-	mux.Handle(server.PathPrefix(), server)
+	mux.Handle(server.PathPrefix(), transport.BoundMessages(server))
 }
 
 // Run exchanges with the neighbours until ctx ends, and returns its error once
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -23,6 +23,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/config"
 	"github.com/lagoonlane/lagoonlane/internal/platform"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
+	"github.com/lagoonlane/lagoonlane/internal/transport"
 )
 
 const (
@@ -171,7 +172,7 @@
 // Register adds the sidecar's handlers to a mux.
 func (s *Sidecar) Register(mux *http.ServeMux) {
 	lane := lanepb.NewLaneServer(s)
-	mux.Handle(lane.PathPrefix(), lane)
+	mux.Handle(lane.PathPrefix(), transport.BoundMessages(lane))
 	mux.HandleFunc("POST /lane/v1/dispatch", s.serveDispatch)
 	mux.HandleFunc("POST /lane/v1/resume", s.serveResume)
 }
--- /dev/null
+++ b/internal/transport/endless_test.go
@@ -0,0 +1,71 @@
+package transport_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
+	"github.com/lagoonlane/lagoonlane/internal/transport"
+)
+
+// endless is a body without end. It counts what was read of it.
+type endless struct{ read atomic.Int64 }
+
+func (e *endless) Read(p []byte) (int, error) {
+	e.read.Add(int64(len(p)))
+	return len(p), nil
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = transport.NewInternalServer(handler)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// A message of another process that has no end is an error, a stream is as long as it is.
+func TestEndlessMessageIsAnError(t *testing.T) {
+	c := qt.New(t)
+	const long = 80 << 20
+	url := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", r.URL.Query().Get("type"))
+		_, _ = io.CopyN(w, &endless{}, long)
+	}))
+	client := transport.NewClient("", nil)
+	defer client.CloseIdleConnections()
+	for kind, whole := range map[string]bool{"application/json": false, "application/protobuf": false, "application/x-frames": true} {
+		response, err := client.Get(url + "?type=" + kind)
+		c.Assert(err, qt.IsNil)
+		n, err := io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		var large *bounded.TooLargeError
+		c.Assert(errors.As(err, &large), qt.Equals, !whole, qt.Commentf("%s: %v", kind, err))
+		c.Assert(n == long, qt.Equals, whole)
+	}
+}
+
+func TestEndlessRequestIsAnError(t *testing.T) {
+	c := qt.New(t)
+	failed := make(chan error, 1)
+	url := serve(t, transport.BoundMessages(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		failed <- err
+	})))
+	client := transport.NewClient("", nil)
+	defer client.CloseIdleConnections()
+	body := &endless{}
+	response, err := client.Post(url, "application/protobuf", body)
+	if err == nil {
+		response.Body.Close()
+	}
+	var large *http.MaxBytesError
+	c.Assert(errors.As(<-failed, &large), qt.IsTrue)
+	c.Assert(body.read.Load() < 200<<20, qt.IsTrue)
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -32,6 +33,9 @@
 	maxStreams           = 8192
 	// maxStreamBuffer bounds what is received of one answer and not read, in bytes.
 	maxStreamBuffer = 128 << 10
+	// maxMessageBytes bounds a message that is read whole: the largest is a snapshot of the
+	// configuration, some MiB.
+	maxMessageBytes = 64 << 20
 )
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
@@ -71,7 +75,26 @@
 func (t *keyedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	keyed := r.Clone(r.Context())
 	keyed.Header.Set("Authorization", t.header)
-	return t.base.RoundTrip(keyed)
+	response, err := t.base.RoundTrip(keyed)
+	if err != nil {
+		return nil, err
+	}
+	switch response.Header.Get("Content-Type") {
+	case "application/json", "application/protobuf":
+		response.Body = boundedBody{bounded.NewReader(response.Body, maxMessageBytes), response.Body}
+	}
+	return response, nil
+}
+
+// boundedBody is a message, as opposed to a stream, which may have any length.
+type boundedBody struct {
+	*bounded.Reader
+	io.Closer
+}
+
+// BoundMessages lets next read requests of at most maxMessageBytes.
+func BoundMessages(next http.Handler) http.Handler {
+	return http.MaxBytesHandler(next, maxMessageBytes)
 }
 
 // CloseIdleConnections closes the connections that carry no request.
