--- a/cmd/lagoonlane/process.go
+++ b/cmd/lagoonlane/process.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/callerconn"
 	"github.com/lagoonlane/lagoonlane/internal/settings"
 	"github.com/lagoonlane/lagoonlane/internal/telemetry"
@@ -215,6 +216,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: platformIdleConns,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 	}}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -14,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
@@ -213,7 +213,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked, askedSteady := time.Now(), steady.Now()
-	answer, err := r.exchange(ctx, m.address)
+	address := r.addressOf(m)
+	answer, err := r.exchange(ctx, address)
 	r.mu.Lock()
 	m.calling = false
 	changed := m.lost != (err != nil)
@@ -233,13 +234,20 @@
 	mine := r.options.Configuration()
 	switch {
 	case answer.Version > mine.Version:
-		r.fetch(ctx, m.address)
+		r.fetch(ctx, address)
 	case answer.Version == mine.Version && answer.ConfirmedAgeMS >= 0:
 		// The answer was made after the call, so this errs on the safe side.
 		r.options.Confirm(answer.Version, askedSteady.Add(-milliseconds(answer.ConfirmedAgeMS)))
 	}
 }
 
+// addressOf returns the address of an entry, which other calls may change meanwhile.
+func (r *Roster) addressOf(m *member) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return m.address
+}
+
 func (r *Roster) exchange(ctx context.Context, address string) (*message, error) {
 	body, err := json.Marshal(r.message())
 	if err != nil {
@@ -273,7 +281,7 @@
 		return nil, errors.Wrap(err, "roster call")
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	data, err := bounded.ReadAll(response.Body, maxMessageBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "roster answer")
 	}
@@ -340,7 +348,7 @@
 
 func (r *Roster) serveExchange(w http.ResponseWriter, request *http.Request) {
 	var told message
-	if err := json.NewDecoder(io.LimitReader(request.Body, maxMessageBytes)).Decode(&told); err != nil {
+	if err := json.NewDecoder(bounded.NewReader(request.Body, maxMessageBytes)).Decode(&told); err != nil {
 		http.Error(w, "the message can't be read: "+err.Error(), http.StatusBadRequest)
 		return
 	}
