Health: evidence that grows, its keys, and overdue answers

Roll-outs on the users' platform judge versions by the same evidence as moves. They exchange sums that only grow (Since gives what is new in one), walk over what there is evidence about (Keys), and count a request that waits for its first part for longer than usual before its answer comes (Overdue).

--- a/internal/health/collector.go
+++ b/internal/health/collector.go
@@ -107,6 +107,17 @@
 	}
 }
 
+// Keys returns what there is evidence about, in no order.
+func (c *Collector) Keys() []Key {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	keys := make([]Key, 0, len(c.histories))
+	for key := range c.histories {
+		keys = append(keys, key)
+	}
+	return keys
+}
+
 // Window returns the evidence of one key over the last window, rounded up to
 // whole slots and bounded by what is kept.
 func (c *Collector) Window(key Key, window time.Duration) *lanepb.Evidence {
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -82,6 +82,45 @@
 	return sum
 }
 
+// Since returns what a growing sum holds beyond an earlier state of it (nil: nothing). It
+// reports false if the sum has not grown.
+func Since(earlier, sum *lanepb.Evidence) (*lanepb.Evidence, bool) {
+	grown := newEvidence(KeyOf(sum))
+	addEvidence(grown, sum)
+	if Seen(grown) <= Seen(earlier) && sum.GetRequests() <= earlier.GetRequests() {
+		return nil, false
+	}
+	grown.Requests -= min(earlier.GetRequests(), grown.Requests)
+	grown.Errors -= min(earlier.GetErrors(), grown.Errors)
+	grown.BadAnswers -= min(earlier.GetBadAnswers(), grown.BadAnswers)
+	subtract(grown.FirstToken, earlier.GetFirstToken())
+	subtract(grown.InterToken, earlier.GetInterToken())
+	return grown, true
+}
+
+func subtract(sum, counts []uint32) {
+	for i, n := range counts[:min(len(counts), len(sum))] {
+		sum[i] -= min(n, sum[i])
+	}
+}
+
+// overdueQuantile and overdueBuckets make up the time from which on an answer counts as
+// overdue: so many buckets longer than that part of the others took.
+const (
+	overdueQuantile = 0.9
+	overdueBuckets  = DefaultSlowBuckets + 2
+)
+
+// Overdue returns how long a request may wait for its first part before that tells of a
+// slow server, by the evidence of usual ones. It reports false if that is too little.
+func Overdue(usual *lanepb.Evidence) (time.Duration, bool) {
+	n := total(usual.GetFirstToken())
+	if n < DefaultMinRequests {
+		return 0, false
+	}
+	return BucketStart(quantileBucket(usual.GetFirstToken(), overdueQuantile*n) + overdueBuckets), true
+}
+
 // Trim cuts the empty buckets off the end of the histograms, for sending.
 func Trim(e *lanepb.Evidence) {
 	e.FirstToken = trimmed(e.GetFirstToken())
