--- /dev/null
+++ b/internal/rollout/judge.go
@@ -0,0 +1,109 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lagoonlane/lagoonlane/internal/health"
+	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
+)
+
+const (
+	// evidenceWindow is the longest time over which evidence is read.
+	evidenceWindow = time.Minute
+	// sameTimeSlices is the number of parts in which versions are compared over the same time.
+	sameTimeSlices = 12
+	// routePart is the part of a service's requests from which on a route must be proven
+	// by itself, and routeRequests the number of requests that this takes.
+	routePart     = 0.1
+	routeRequests = 4
+)
+
+// judgeWindows are the times over which the target's evidence is read: short ones for a
+// fault that has just begun, long ones for a rare one.
+var judgeWindows = []time.Duration{4 * time.Second, 12 * time.Second, evidenceWindow}
+
+var (
+	// containTolerance is for each look during a roll-out. A good version that is taken
+	// back costs a repeat of the order, a bad one that goes on harms callers.
+	containTolerance = health.Tolerance{FalseAlarm: 1e-5, EarlyAlarm: 5e-3}
+	// sameTimeTolerance is for the comparison over the same time.
+	sameTimeTolerance = health.Tolerance{FalseAlarm: 1e-3}
+	// proofTolerance is for the one look by which requests move to the target.
+	proofTolerance = health.Tolerance{FalseAlarm: 1e-2, MinRequests: 24}
+)
+
+// fault returns why the target is faulty on some route, or on all together, if it is.
+func (c *course) fault() string {
+	for _, route := range append(c.routes(), allRoutes) {
+		old, target := c.key(false, route), c.key(true, route)
+		seen := health.Seen(c.evidence.Window(target, evidenceWindow))
+		if seen == 0 {
+			continue
+		}
+		baseline := c.evidence.Window(old, evidenceWindow)
+		for _, window := range judgeWindows {
+			verdict := health.Judge(baseline, c.evidence.Window(target, window), containTolerance.After(seen))
+			if verdict.Decision == health.Faulty && c.worseNow(old, target, window) {
+				return named(route, verdict.Reason)
+			}
+		}
+	}
+	return ""
+}
+
+func (c *course) worseNow(old, target health.Key, window time.Duration) bool {
+	return health.WorseAtTheSameTime(c.evidence.Slices(old, window, sameTimeSlices), c.evidence.Slices(target, window, sameTimeSlices), sameTimeTolerance)
+}
+
+// proof decides whether requests may move to the target, and says why not.
+func (c *course) proof() (health.Decision, string) {
+	all := c.evidence.Window(c.key(false, allRoutes), evidenceWindow)
+	target := c.evidence.Window(c.key(true, allRoutes), evidenceWindow)
+	if verdict := health.Judge(all, target, proofTolerance); verdict.Decision != health.Healthy {
+		return verdict.Decision, reasonOr(verdict.Reason, evidenceOf(all, target))
+	}
+	if all.GetRequests() < proofTolerance.Requests() {
+		return health.Undecided, "too little to compare with: " + evidenceOf(all, target)
+	}
+	for _, route := range c.routes() {
+		old, target := c.evidence.Window(c.key(false, route), evidenceWindow), c.evidence.Window(c.key(true, route), evidenceWindow)
+		if verdict := health.Judge(old, target, proofTolerance); verdict.Decision == health.Faulty {
+			return verdict.Decision, named(route, verdict.Reason)
+		}
+		if float64(old.GetRequests()) >= routePart*float64(all.GetRequests()) && health.Seen(target) < routeRequests {
+			return health.Undecided, named(route, "too little evidence: "+evidenceOf(old, target))
+		}
+	}
+	return health.Healthy, evidenceOf(all, target)
+}
+
+func evidenceOf(old, target *lanepb.Evidence) string {
+	return fmt.Sprintf("%d requests seen of the target (%d ended, %d failed, %d broken), %d ended of others (%d failed, %d broken)",
+		health.Seen(target), target.GetRequests(), target.GetErrors(), target.GetBadAnswers(), old.GetRequests(), old.GetErrors(), old.GetBadAnswers())
+}
+
+func reasonOr(reason, other string) string {
+	if reason != "" {
+		return reason
+	}
+	return "too little evidence: " + other
+}
+
+func named(route, reason string) string {
+	if route == allRoutes {
+		return reason
+	}
+	return "route " + route + ": " + reason
+}
+
+// routes returns the routes on which requests were sent, here or by other entries.
+func (c *course) routes() []string {
+	var list []string
+	for _, key := range c.evidence.Keys() {
+		if key.Version == otherVersions && key.Route != allRoutes {
+			list = append(list, key.Route)
+		}
+	}
+	return list
+}
