Hold ordered versions to their share at every entry

What callers saw: a version that an operator had ordered took requests like any other.

Change: the gateway asks the keeper which servers a send may go to, and tells it how each send ended; entries exchange what they know of orders in the roster.

--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -22,6 +22,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/gateway"
 	"github.com/lagoonlane/lagoonlane/internal/lateness"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/roster"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
 	"github.com/lagoonlane/lagoonlane/internal/telemetry"
@@ -42,6 +43,9 @@
 	// draining. Each server renews its entry all the time: without a pause, each renewal
 	// would cost each entry a read.
 	serversPausePart = 0.4
+	// statesWait is how long one read waits for news of roll-outs while there is one. Entries
+	// tell each other of changes.
+	statesWait = 5 * time.Second
 	// membersWait is the same for the list of entries, which tell each other of changes.
 	membersWait = 20 * time.Second
 	// leaveAfter is how long an entry that was told to stop still takes new connections:
@@ -205,6 +209,7 @@
 	servers       *platform.ServerSource
 	roster        *roster.Roster
 	gateway       *gateway.Gateway
+	rollouts      *rollout.Keeper
 	lateness      *lateness.Meter
 	upstream      *upstream.Client
 	public        *http.Server
@@ -226,19 +231,29 @@
 	e.servers.Gone = e.upstream.Forget
 	peers := transport.NewClient("", nil)
 	pool := limit.NewPool(time.Now())
+	bounds := n.settings.Bounds
+	e.rollouts, err = rollout.New(rollout.Options{
+		ID: n.settings.ID, Bounds: rollout.Bounds{Share: bounds.ExposureShare, Slack: bounds.ExposureSlack},
+		Log: &platform.RolloutLog{Store: e.store}, Ready: e.directory.Ready,
+		Standing: func() rollout.Standing { return e.roster.Standing() },
+		Logger:   n.logger, Meter: n.metrics.Meter,
+	})
+	if err != nil {
+		return nil, err
+	}
 	e.roster = roster.New(roster.Options{
 		ID: n.settings.ID, Address: n.settings.Internal, Boot: rand.Text(), Client: peers, Pool: pool,
 		Configuration: e.configuration.Configuration,
 		Offer:         func(raw []byte) { e.configuration.Offer(raw, "peer") },
 		Confirm:       e.configuration.Confirm,
+		Rollouts:      e.rollouts,
 		Logger:        n.logger,
 	})
-	bounds := n.settings.Bounds
 	e.gateway, err = gateway.New(gateway.Options{
 		DataCentre: n.settings.DataCentre, Codec: codec, Manifest: holder, Directory: e.directory,
 		Upstream: e.upstream, Slots: slots.NewClient(nil),
 		SlotAddress: gateway.SlotAddress(strconv.Itoa(n.settings.InternalPort)),
-		Lateness:    e.lateness, Entries: e.roster.Entries, Limits: pool,
+		Rollouts:    e.rollouts, Lateness: e.lateness, Entries: e.roster.Entries, Limits: pool,
 		Bounds: gateway.Bounds{
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
@@ -277,10 +292,14 @@
 	configurationWait := time.Duration(configurationWaitPart * float64(bounds.ApplyWithin))
 	serversWait := time.Duration(serversWaitPart * float64(bounds.DrainWithin))
 	serversPause := time.Duration(serversPausePart * float64(bounds.DrainWithin))
+	orders := &platform.OrderSource{Keeper: e.rollouts, Logger: e.logger}
+	states := follow(platform.TopicStatus, &platform.StatusSource{Keeper: e.rollouts, Logger: e.logger}, statesWait, 0)
+	operator := platform.Listeners{e.configuration, orders}
 	return e.run(ctx, group, groupCtx, stop, []runFunc{
-		follow(platform.TopicOperator, e.configuration, configurationWait, 0),
+		follow(platform.TopicOperator, operator, configurationWait, 0),
 		follow(platform.TopicServers, e.servers, serversWait, serversPause),
 		follow(platform.TopicEntries, &platform.MemberSource{Roster: e.roster, Logger: e.logger}, membersWait, time.Second),
+		func(ctx context.Context) error { return e.rollouts.WhileOpen(ctx, states) }, e.rollouts.Run,
 		e.register, e.roster.Run, e.gateway.Run, e.upstream.Run, e.lateness.Run,
 	}, e.leave)
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -26,4 +26,6 @@
 	State ServerState
 	// Born is the start of this incarnation.
 	Born time.Time
+	// ColdUntil is until when it is slower than usual after its start; zero: it isn't.
+	ColdUntil time.Time
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
@@ -35,7 +36,7 @@
 	Retries      RetryBounds
 }
 
-// Options configure a Gateway. All but Meter and Lateness are required.
+// Options configure a Gateway. All but Meter, Lateness and Rollouts are required.
 type Options struct {
 	DataCentre string
 	Codec      Codec
@@ -45,6 +46,8 @@
 	Slots      *slots.Client
 	// SlotAddress returns the address of the sidecar beside a backend server, or "".
 	SlotAddress func(fleet.Server) string
+	// Rollouts keeps versions on trial to their share; nil: there are none.
+	Rollouts *rollout.Keeper
 	// Lateness tells this process's own delay; nil: it is never late.
 	Lateness Lateness
 	// Entries returns the number of entries that are alive, this one included.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -38,23 +38,32 @@
 // place finds a backend server for a call, and waits for a slot where there are slots.
 func (g *Gateway) place(ctx context.Context, one *call, p *progress) (*placement, *Failure) {
 	now := time.Now()
-	list := g.servers.usable(g.options.Directory.Ready(one.service, now), p.tried, now)
+	defer func() { p.waited += time.Since(now) }()
+	ready := g.options.Directory.Ready(one.service, now)
+	choice := g.options.Rollouts.Choose(one.service, one.route.Name, ready, p.sends > 0, now)
+	if choice.Trial() {
+		bounded, cancel := context.WithTimeout(ctx, choice.Patience)
+		defer cancel()
+		if at, failure := g.placeAmong(bounded, one, p, choice.First); failure == nil {
+			return at, nil
+		}
+		choice.Return()
+		return g.placeAmong(ctx, one, p, choice.Rest)
+	}
+	return g.placeAmong(ctx, one, p, choice.First)
+}
+
+// placeAmong finds a backend server among some.
+func (g *Gateway) placeAmong(ctx context.Context, one *call, p *progress, ready []fleet.Server) (*placement, *Failure) {
+	now := time.Now()
+	list := g.servers.usable(ready, p.tried, now)
 	if len(list) == 0 {
 		return nil, unavailable(KindNoServer, defaultRetryAfter, "the service has no backend server that can be tried")
 	}
-	var at *placement
-	var failure *Failure
 	if one.engine != nil {
-		at, failure = g.placeAtEngine(ctx, one, list)
-	} else {
-		server := g.servers.leastLoaded(list, now)
-		at = &placement{server: server, release: func(admission.Outcome) {}}
-	}
-	p.waited += time.Since(now)
-	if failure != nil {
-		return nil, failure
+		return g.placeAtEngine(ctx, one, list)
 	}
-	return at, nil
+	return &placement{server: g.servers.leastLoaded(list, now), release: func(admission.Outcome) {}}, nil
 }
 
 // ticketResult is the end of one ticket.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
 
@@ -157,6 +158,7 @@
 func (g *Gateway) send(ctx context.Context, one *call, p *progress, at *placement) (verdict, error) {
 	sent := time.Now()
 	g.servers.begin(at.server.ID)
+	flight := g.options.Rollouts.Begin(at.server, one.route.Name)
 	p.server = at.server.ID
 	p.tried[at.server.ID] = true
 	result := g.exchange(ctx, one, p, at)
@@ -177,11 +179,16 @@
 		p.firstEvent = result.firstEvent
 	}
 	at.release(outcome)
+	flight.End(rollout.Landing{
+		Unsent: result.verdict == verdictUnsent, Rejected: result.verdict == verdictRejected || result.verdict == verdictReplaced,
+		Failed: outcome.Failed && result.firstEvent == 0, Broken: outcome.Failed && result.firstEvent > 0, Cut: cut,
+		FirstEvent: result.firstEvent, Events: result.events,
+	})
 	g.servers.finished(at.server.ID, result, time.Since(sent), cut)
 	return result.verdict, result.err
 }
 
 // stillUsable reports whether a backend server may get a request now.
 func (g *Gateway) stillUsable(server fleet.Server) bool {
-	return g.options.Directory.Usable(server.ID, time.Now())
+	return g.options.Directory.Usable(server.ID, time.Now()) && !g.options.Rollouts.Stopped(server)
 }
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -1,5 +1,5 @@
 // Package roster owns what entries tell each other directly: who is alive, how much
-// of each account's limit is used, and how recent the configuration is. It holds soft
+// of each account's limit is used, how roll-outs go, and how recent the configuration is. It holds soft
 // state only: a process that has just started learns it anew within a second.
 package roster
 
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/rollout"
 )
 
 // Paths under which an entry serves the others.
@@ -38,6 +39,7 @@
 	UpMS     int64                `json:"up_ms"`
 	AgeMS    int64                `json:"age_ms"`
 	Accounts map[string]limit.Use `json:"accounts"`
+	Rollouts []rollout.Report     `json:"rollouts,omitempty"`
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
 
@@ -57,7 +58,13 @@
 	Confirmed time.Time
 }
 
-// Options configure a Roster. All are required.
+// Rollouts exchanges what entries know of roll-outs. *rollout.Keeper is one.
+type Rollouts interface {
+	Report() []rollout.Report
+	Hear(id, boot string, reports []rollout.Report, at time.Time)
+}
+
+// Options configure a Roster. All but Rollouts are required.
 type Options struct {
 	ID      string
 	Address string
@@ -70,7 +77,9 @@
 	Offer func(raw []byte)
 	// Confirm says that a version was known to be the newest one at a moment.
 	Confirm func(version int64, at time.Time)
-	Logger  zerolog.Logger
+	// Rollouts may be nil.
+	Rollouts Rollouts
+	Logger   zerolog.Logger
 }
 
 // member is what is known of another entry.
@@ -86,6 +95,7 @@
 	// lost says that the last call failed.
 	lost     bool
 	accounts map[string]limit.Use
+	rollouts []rollout.Report
 }
 
 // Roster exchanges with the other entries. It is safe for concurrent use.
@@ -149,6 +159,29 @@
 	return alive, 2*alive > known
 }
 
+// Standing returns this entry's place among the entries, by their ids.
+func (r *Roster) Standing() rollout.Standing {
+	now := time.Now()
+	alive, known := 1, 1
+	standing := rollout.Standing{}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	within := r.aliveWithin()
+	for _, m := range r.members {
+		if now.Sub(m.heard) < within {
+			alive++
+			if m.id < r.options.ID {
+				standing.Rank++
+			}
+		}
+		if now.Sub(m.heard) < knownFor {
+			known++
+		}
+	}
+	standing.Known, standing.Quorate = known, 2*alive > known
+	return standing
+}
+
 // aliveWithin returns how long an entry counts as alive after it was heard.
 func (r *Roster) aliveWithin() time.Duration {
 	if len(r.members) <= smallRoster {
@@ -303,6 +336,9 @@
 	if !configuration.Confirmed.IsZero() {
 		told.ConfirmedAgeMS = steady.Since(configuration.Confirmed).Milliseconds() + 1
 	}
+	if r.options.Rollouts != nil {
+		told.Uses[0].Rollouts = r.options.Rollouts.Report()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.members) > smallRoster {
@@ -310,7 +346,7 @@
 	}
 	for _, m := range r.members {
 		if age := now.Sub(m.heard); age < relayFor {
-			told.Uses = append(told.Uses, entryUse{ID: m.id, Address: m.address, Boot: m.boot, UpMS: m.up.Milliseconds(), AgeMS: age.Milliseconds(), Accounts: m.accounts})
+			told.Uses = append(told.Uses, entryUse{ID: m.id, Address: m.address, Boot: m.boot, UpMS: m.up.Milliseconds(), AgeMS: age.Milliseconds(), Accounts: m.accounts, Rollouts: m.rollouts})
 		}
 	}
 	return told
@@ -327,8 +363,11 @@
 			continue
 		}
 		m = r.learn(use.ID, use.Address)
-		m.heard, m.boot, m.up, m.accounts = heard, use.Boot, milliseconds(use.UpMS), use.Accounts
+		m.heard, m.boot, m.up, m.accounts, m.rollouts = heard, use.Boot, milliseconds(use.UpMS), use.Accounts, use.Rollouts
 		r.options.Pool.Hear(use.ID, use.Boot, heard.Add(-milliseconds(use.UpMS)), use.Accounts, heard)
+		if r.options.Rollouts != nil {
+			r.options.Rollouts.Hear(use.ID, use.Boot, use.Rollouts, heard)
+		}
 	}
 }
 
