Roll-outs: never call the roster with the keeper's lock held

Change: the keeper keeps the standing of its last turn, and the roster hands on what it heard after it has let go of its lock. Trials are spread over routes by evidence, the requests that move are held to the bound, and an order's age is not pushed up by the time that exchanges take.

--- a/internal/rollout/course.go
+++ b/internal/rollout/course.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
@@ -24,6 +25,9 @@
 	// moveSlop is added to the time that requests of a route take, as decisions are taken
 	// in turns.
 	moveSlop = 200 * time.Millisecond
+	// provenPart is the part of the deployment's bound that the target gets once there is
+	// plenty of evidence: enough to see that it turns bad.
+	provenPart = 0.2
 	// longestMovePart bounds the time over which requests move, in parts of the order's.
 	longestMovePart = 0.35
 	// coldPart is the part of the order's time for which trials wait for a server that is
@@ -56,11 +60,17 @@
 	// sends counts the requests sent to the service, trials those that the target was
 	// chosen for.
 	sends, trials uint64
-	evidence      *health.Collector
-	told          *told
-	flights       map[*Flight]bool
-	durations     map[string]*durations
-	peers         map[string]*heard
+	// routeSends counts the requests by route.
+	routeSends map[string]uint64
+	// seen tells how much of the target's evidence is in, on each route.
+	seen coverage
+	// moveScale shortens the times for which requests move, so that the bound suffices.
+	moveScale float64
+	evidence  *health.Collector
+	told      *told
+	flights   map[*Flight]bool
+	durations map[string]*durations
+	peers     map[string]*heard
 	// due is when this entry may next try to record something.
 	due time.Time
 }
@@ -68,6 +78,7 @@
 func newCourse(order Order, now time.Time) *course {
 	return &course{
 		order: order, began: now, evidence: health.NewCollector(health.CollectorOptions{}), told: &told{},
+		routeSends: map[string]uint64{}, moveScale: 1,
 		flights: map[*Flight]bool{}, durations: map[string]*durations{}, peers: map[string]*heard{},
 	}
 }
@@ -90,22 +101,33 @@
 }
 
 // takes returns how long before the completion a route's requests move: so long that
-// those which went to other servers before have ended by then.
+// most of those which went to other servers before have ended by then.
 func (c *course) takes(route string) time.Duration {
 	d := c.durations[route]
 	if d == nil {
 		return moveSlop
 	}
-	return min(d.long()+moveSlop, time.Duration(longestMovePart*float64(c.order.Duration)))
+	longest := min(d.long()+moveSlop, time.Duration(longestMovePart*float64(c.order.Duration)))
+	return time.Duration(c.moveScale * float64(longest))
 }
 
-// mayTry reports whether a request may go to the unproven target.
-func (c *course) mayTry(bounds Bounds, entries int) bool {
-	allowed := trialPart * bounds.Share * float64(c.sends)
+// allowance returns how many requests a part of the deployment's bound is at this entry:
+// its share of its own sends, and of the slack that all entries divide.
+func (c *course) allowance(share, slack float64, bounds Bounds, entries int) float64 {
+	allowed := share * bounds.Share * float64(c.sends)
 	if c.whole {
-		allowed += headStart * bounds.Slack / float64(max(entries, 1))
+		allowed += slack * bounds.Slack / float64(max(entries, 1))
+	}
+	return allowed
+}
+
+// mayTry reports whether a request may go to the unproven target.
+func (c *course) mayTry(route string, bounds Bounds, entries int) bool {
+	part := trialPart
+	if c.seen.plenty {
+		part = provenPart
 	}
-	return float64(c.trials+1) <= allowed
+	return !c.seen.ahead[route] && float64(c.trials+1) <= c.allowance(part, headStart, bounds, entries)
 }
 
 // mayMove reports whether one more request may move to the target.
@@ -113,11 +135,19 @@
 	if !c.moving || c.completeAt().Sub(now) > c.takes(route) {
 		return false
 	}
-	allowed := bounds.Share * float64(c.sends)
-	if c.whole {
-		allowed += bounds.Slack / float64(max(entries, 1))
+	return float64(c.trials+1) <= c.allowance(movePart, movePart, bounds, entries)
+}
+
+// planMove shortens the times for which requests move to what the bound suffices for.
+func (c *course) planMove(bounds Bounds, entries int, now time.Time) {
+	needed := 0.0
+	for route, sends := range c.routeSends {
+		needed += float64(sends) * c.takes(route).Seconds() / max(now.Sub(c.began).Seconds(), 1)
+	}
+	left := max(c.allowance(movePart, movePart, bounds, entries)-float64(c.trials), 0)
+	if needed > left {
+		c.moveScale = left / needed
 	}
-	return float64(c.trials+1) <= movePart*allowed
 }
 
 // warm returns the servers that are no longer slow from their start; all of them once
@@ -149,15 +179,15 @@
 	d.n++
 }
 
-// long returns a time that few requests exceed: the fourth longest of those kept.
+// longPart is the part of a route's requests that end within what counts as long.
+const longPart = 0.9
+
+// long returns a time that few requests exceed.
 func (d *durations) long() time.Duration {
-	var top [4]time.Duration
-	for _, took := range d.times[:min(d.n, durationsKept)] {
-		for i := range top {
-			if took > top[i] {
-				top[i], took = took, top[i]
-			}
-		}
+	n := min(d.n, durationsKept)
+	if n == 0 {
+		return 0
 	}
-	return top[len(top)-1]
+	sorted := slices.Sorted(slices.Values(d.times[:n]))
+	return sorted[int(longPart*float64(n-1))]
 }
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -49,6 +49,7 @@
 func (k *Keeper) turn(standing Standing, now time.Time) []due {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.standing = standing
 	var list []due
 	for _, v := range k.services {
 		c := v.course
@@ -57,6 +58,7 @@
 		}
 		if c.open() {
 			c.observeOverdue(now)
+			c.seen = c.cover()
 			k.tell(c)
 			k.look(c, standing, now)
 		}
@@ -102,9 +104,10 @@
 // move lets requests move to the target.
 func (k *Keeper) move(c *course, source string) {
 	c.moving = true
+	c.planMove(k.options.Bounds, k.standing.Known, time.Now())
 	k.options.Logger.Info().Str("service", c.order.Service).Str("target", c.order.Target).Uint64("order", c.order.ID).
 		Dur("age_ms", time.Since(c.began)).Uint64("sends", c.sends).Uint64("trials", c.trials).Str("source", source).
-		Int("running_elsewhere", c.otherFlights()).Dur("completion_in_ms", time.Until(c.completeAt())).Str("outcome", "moving").Msg("roll-out")
+		Float64("scale", c.moveScale).Int("running_elsewhere", c.otherFlights()).Dur("completion_in_ms", time.Until(c.completeAt())).Str("outcome", "moving").Msg("roll-out")
 }
 
 // wants returns the state that is to be recorded, since when, and how long each entry
--- a/internal/rollout/exchange.go
+++ b/internal/rollout/exchange.go
@@ -13,6 +13,10 @@
 // ended.
 const finalFor = 30 * time.Second
 
+// ageTolerance is by how much an order must be older by another entry's account to take
+// that over. It is more than an exchange takes: each one makes the order look older.
+const ageTolerance = 500 * time.Millisecond
+
 // Report is what one entry tells the others of an order.
 type Report struct {
 	Service    string `json:"service"`
@@ -78,7 +82,7 @@
 		if c.order.ID != r.Order {
 			continue
 		}
-		if began.Before(c.began) {
+		if c.began.Sub(began) > ageTolerance {
 			c.began = began
 		}
 		c.informed = true
--- a/internal/rollout/flight.go
+++ b/internal/rollout/flight.go
@@ -60,6 +60,7 @@
 		target: server.Version == c.order.Target, cold: now.Before(server.ColdUntil),
 	}
 	c.sends++
+	c.routeSends[route]++
 	c.flights[f] = true
 	k.metrics.sent(c, f.target)
 	return f
@@ -78,6 +79,7 @@
 	switch {
 	case landing.Unsent:
 		c.sends--
+		c.routeSends[f.route]--
 		return
 	case landing.Rejected:
 		return
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -35,6 +35,9 @@
 
 	mu       sync.Mutex
 	services map[string]*versions
+	// standing is the latest; it is read without the lock held, as whoever knows it may
+	// call this keeper.
+	standing Standing
 	// known is the moment up to which all orders are known; zero: none have been read.
 	known time.Time
 }
@@ -120,7 +123,7 @@
 	}
 	next.began, next.order.Duration = before.began, min(before.order.Duration, next.order.Duration)
 	next.stopped, next.whole = before.stopped, before.whole
-	next.sends, next.trials = before.sends, before.trials
+	next.sends, next.trials, next.routeSends = before.sends, before.trials, before.routeSends
 	next.evidence, next.told, next.durations, next.peers = before.evidence, before.told, before.durations, before.peers
 }
 
@@ -239,12 +242,12 @@
 	if c.stopped != "" || !c.informed || len(target) == 0 || !now.Before(c.deadline()) {
 		return Choice{First: others}
 	}
-	entries := k.options.Standing().Known
+	entries := k.standing.Known
 	if c.mayMove(route, k.options.Bounds, entries, now) {
 		c.trials++
 		return Choice{First: target, Rest: others, Patience: trialPatience, keeper: k, course: c}
 	}
-	if warm := c.warm(target, now); !repeat && len(warm) > 0 && c.mayTry(k.options.Bounds, entries) {
+	if warm := c.warm(target, now); !repeat && len(warm) > 0 && c.mayTry(route, k.options.Bounds, entries) {
 		c.trials++
 		return Choice{First: warm, Rest: others, Patience: trialPatience, keeper: k, course: c}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -354,8 +354,21 @@
 
 // take learns from what another entry told.
 func (r *Roster) take(told *message, now time.Time) {
+	news := r.learnUses(told, now)
+	if r.options.Rollouts == nil {
+		return
+	}
+	// Without the lock held: whoever hears this may ask for this entry's standing.
+	for _, use := range news {
+		r.options.Rollouts.Hear(use.ID, use.Boot, use.Rollouts, now.Add(-milliseconds(use.AgeMS)))
+	}
+}
+
+// learnUses learns of entries and returns what is newer than what was known of them.
+func (r *Roster) learnUses(told *message, now time.Time) []entryUse {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var news []entryUse
 	for _, use := range told.Uses {
 		heard := now.Add(-milliseconds(use.AgeMS))
 		m := r.members[use.ID]
@@ -365,10 +378,9 @@
 		m = r.learn(use.ID, use.Address)
 		m.heard, m.boot, m.up, m.accounts, m.rollouts = heard, use.Boot, milliseconds(use.UpMS), use.Accounts, use.Rollouts
 		r.options.Pool.Hear(use.ID, use.Boot, heard.Add(-milliseconds(use.UpMS)), use.Accounts, heard)
-		if r.options.Rollouts != nil {
-			r.options.Rollouts.Hear(use.ID, use.Boot, use.Rollouts, heard)
-		}
+		news = append(news, use)
 	}
+	return news
 }
 
 // Register serves the other entries on a mux.
