Roll-outs: take the time to the first event when it comes

Streams told their first event at their end only, so every stream that lasted longer than the usual first event counted as overdue, of good and bad versions alike. Found by TestGoodVersionCompletes in virtual time.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -165,6 +165,7 @@
 		now := time.Now()
 		if result.events++; result.firstEvent == 0 {
 			result.firstEvent = now.Sub(sent)
+			p.flight.First(result.firstEvent)
 		} else {
 			p.longestPause = max(p.longestPause, now.Sub(last))
 		}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -30,6 +30,8 @@
 // progress is how far a call has come over one or several backend servers.
 type progress struct {
 	relay *relay
+	// flight tells the roll-out of the service, if there is one, of the last send.
+	flight *rollout.Flight
 	// tried holds the ids of the backend servers that may not be chosen again.
 	tried map[string]bool
 	// sends counts the requests that left this process, ran those that may have run.
@@ -158,7 +160,7 @@
 func (g *Gateway) send(ctx context.Context, one *call, p *progress, at *placement) (verdict, error) {
 	sent := time.Now()
 	g.servers.begin(at.server.ID)
-	flight := g.options.Rollouts.Begin(at.server, one.route.Name)
+	p.flight = g.options.Rollouts.Begin(at.server, one.route.Name)
 	p.server = at.server.ID
 	p.tried[at.server.ID] = true
 	result := g.exchange(ctx, one, p, at)
@@ -179,7 +181,7 @@
 		p.firstEvent = result.firstEvent
 	}
 	at.release(outcome)
-	flight.End(rollout.Landing{
+	p.flight.End(rollout.Landing{
 		Unsent: result.verdict == verdictUnsent, Rejected: result.verdict == verdictRejected || result.verdict == verdictReplaced,
 		Failed: outcome.Failed && result.firstEvent == 0, Broken: outcome.Failed && result.firstEvent > 0, Cut: cut,
 		FirstEvent: result.firstEvent, Events: result.events,
--- a/internal/rollout/course.go
+++ b/internal/rollout/course.go
@@ -15,7 +15,7 @@
 	trialPart = 0.5
 	// headStart is the part of the deployment's slack that trials may use at once, so that
 	// a service with few requests comes by its evidence too.
-	headStart = 0.2
+	headStart = 0.3
 	// movePart is the part of the deployment's bound that trials and moved requests may
 	// use together before the order is completed.
 	movePart = 0.85
--- a/internal/rollout/flight.go
+++ b/internal/rollout/flight.go
@@ -66,6 +66,24 @@
 	return f
 }
 
+// First takes the time to the first event as evidence, as soon as it comes.
+func (f *Flight) First(after time.Duration) {
+	if f == nil {
+		return
+	}
+	f.keeper.mu.Lock()
+	defer f.keeper.mu.Unlock()
+	f.first(after)
+}
+
+func (f *Flight) first(after time.Duration) {
+	if f.firstSeen || f.cold || after <= 0 {
+		return
+	}
+	f.firstSeen = true
+	f.observe(health.Observation{FirstToken: after, Partial: true})
+}
+
 // End takes the end of a send as evidence.
 func (f *Flight) End(landing Landing) {
 	if f == nil {
@@ -90,10 +108,8 @@
 	if landing.Cut {
 		return
 	}
+	f.first(landing.FirstEvent)
 	o := health.Observation{Failed: landing.Failed, BadAnswer: landing.Broken}
-	if !f.cold && !f.firstSeen {
-		o.FirstToken = landing.FirstEvent
-	}
 	if !f.cold && landing.Events >= minPacedEvents {
 		o.InterToken = (took - landing.FirstEvent) / time.Duration(landing.Events-1)
 	}
@@ -130,8 +146,7 @@
 		}
 		waited := now.Sub(f.sent)
 		if limit, known := health.Overdue(c.evidence.Window(c.key(false, f.route), evidenceWindow)); known && waited > limit {
-			f.firstSeen = true
-			f.observe(health.Observation{FirstToken: waited, Partial: true})
+			f.first(waited)
 		}
 	}
 }
--- /dev/null
+++ b/internal/rollout/main_test.go
@@ -0,0 +1,14 @@
+package rollout_test
+
+import (
+	"os"
+	"runtime"
+	"testing"
+)
+
+// TestMain runs the tests on one processor: the race detector of go1.26 can fail
+// an internal check when timers of a synctest bubble fire on several.
+func TestMain(m *testing.M) {
+	runtime.GOMAXPROCS(1)
+	os.Exit(m.Run())
+}
