Roll-outs: judge against what was usual before the order

Failures end sooner than whole answers, and were counted sooner: a good version of a service that fails 13 % of its requests looked worse in its first seconds (5 of 5 failed on one route). And the others' evidence began with the order, when the judge still assumes one failure in 200.

Change: a send counts at its first event; the evidence of a service is kept without an order too; nothing is contained before 60 requests of others are seen.

--- a/internal/health/collector.go
+++ b/internal/health/collector.go
@@ -23,8 +23,8 @@
 	FirstToken time.Duration
 	// InterToken is the mean time between two parts of the answer; 0: unknown.
 	InterToken time.Duration
-	// Partial says that the answer has not ended: its times count, the request
-	// counts at its end. Each time is observed once.
+	// Partial says that another observation counts the request, be it earlier or later:
+	// what this one shows counts, the request doesn't. Each time is observed once.
 	Partial bool
 }
 
--- a/internal/rollout/course.go
+++ b/internal/rollout/course.go
@@ -75,11 +75,12 @@
 	due time.Time
 }
 
-func newCourse(order Order, now time.Time) *course {
+func newCourse(order Order, began time.Time, v *versions) *course {
+	// Entries tell each other of what they see from now on.
+	v.evidence.Take()
 	return &course{
-		order: order, began: now, evidence: health.NewCollector(health.CollectorOptions{}), told: &told{},
-		routeSends: map[string]uint64{}, moveScale: 1,
-		flights: map[*Flight]bool{}, durations: map[string]*durations{}, peers: map[string]*heard{},
+		order: order, began: began, evidence: v.evidence, durations: v.durations, told: &told{},
+		routeSends: map[string]uint64{}, moveScale: 1, flights: map[*Flight]bool{}, peers: map[string]*heard{},
 	}
 }
 
@@ -94,7 +95,7 @@
 // moveFrom is when the first requests move, those of the route that takes longest.
 func (c *course) moveFrom() time.Time {
 	longest := moveSlop
-	for route := range c.durations {
+	for route := range c.routeSends {
 		longest = max(longest, c.takes(route))
 	}
 	return c.completeAt().Add(-longest)
--- a/internal/rollout/flight.go
+++ b/internal/rollout/flight.go
@@ -16,17 +16,21 @@
 // minPacedEvents is the number of events from which on a stream tells its pace.
 const minPacedEvents = 4
 
-// Flight is one send to a server during a roll-out. All methods accept nil.
+// Flight is one send to a server. All methods accept nil.
 type Flight struct {
-	keeper *Keeper
+	keeper   *Keeper
+	versions *versions
+	// course is that of the order that was open at the send; nil if there was none.
 	course *course
 	route  string
 	target bool
 	// cold says that the server was still slow from its start: its times tell nothing.
 	cold bool
 	sent time.Time
-	// firstSeen is set once the time to the first event is part of the evidence.
-	firstSeen bool
+	// counted is set once the send counts in the evidence: at its first event, when that is
+	// overdue, or at its end. Failures come sooner than whole answers do; counted at the
+	// end only, they would seem more frequent than they are.
+	counted bool
 }
 
 // Landing is how a send ended.
@@ -42,23 +46,21 @@
 	Events     int
 }
 
-// Begin notes a send. It returns nil when the service has no roll-out.
+// Begin notes a send.
 func (k *Keeper) Begin(server fleet.Server, route string) *Flight {
 	if k == nil {
 		return nil
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	v := k.services[server.Service]
-	if v == nil || v.course == nil || !v.course.open() {
-		return nil
-	}
-	c := v.course
+	v := k.versions(server.Service)
 	now := time.Now()
-	f := &Flight{
-		keeper: k, course: c, route: route, sent: now,
-		target: server.Version == c.order.Target, cold: now.Before(server.ColdUntil),
+	f := &Flight{keeper: k, versions: v, route: route, sent: now, cold: now.Before(server.ColdUntil)}
+	c := v.course
+	if c == nil || !c.open() {
+		return f
 	}
+	f.course, f.target = c, server.Version == c.order.Target
 	c.sends++
 	c.routeSends[route]++
 	c.flights[f] = true
@@ -77,11 +79,14 @@
 }
 
 func (f *Flight) first(after time.Duration) {
-	if f.firstSeen || f.cold || after <= 0 {
+	if f.counted || after <= 0 {
 		return
 	}
-	f.firstSeen = true
-	f.observe(health.Observation{FirstToken: after, Partial: true})
+	f.counted = true
+	if f.cold {
+		after = 0
+	}
+	f.observe(health.Observation{FirstToken: after})
 }
 
 // End takes the end of a send as evidence.
@@ -91,48 +96,54 @@
 	}
 	f.keeper.mu.Lock()
 	defer f.keeper.mu.Unlock()
-	c := f.course
-	delete(c.flights, f)
 	took := time.Since(f.sent)
-	switch {
-	case landing.Unsent:
-		c.sends--
-		c.routeSends[f.route]--
-		return
-	case landing.Rejected:
+	f.leave(landing)
+	if landing.Unsent || landing.Rejected {
 		return
 	}
 	if !f.target {
-		c.duration(f.route).add(took)
+		f.versions.duration(f.route).add(took)
 	}
 	if landing.Cut {
 		return
 	}
 	f.first(landing.FirstEvent)
-	o := health.Observation{Failed: landing.Failed, BadAnswer: landing.Broken}
+	o := health.Observation{Failed: landing.Failed, BadAnswer: landing.Broken, Partial: f.counted}
 	if !f.cold && landing.Events >= minPacedEvents {
 		o.InterToken = (took - landing.FirstEvent) / time.Duration(landing.Events-1)
 	}
 	f.observe(o)
 }
 
+// leave takes the flight out of those of its order.
+func (f *Flight) leave(landing Landing) {
+	if f.course == nil {
+		return
+	}
+	delete(f.course.flights, f)
+	if landing.Unsent {
+		f.course.sends--
+		f.course.routeSends[f.route]--
+	}
+}
+
 // observe adds to the evidence of the flight's version, on its route and on all.
 func (f *Flight) observe(o health.Observation) {
-	o.Pool, o.Version = f.course.order.Service, otherVersions
+	o.Version = otherVersions
 	if f.target {
 		o.Version = f.course.order.Target
 	}
 	for _, route := range []string{f.route, allRoutes} {
 		o.Route = route
-		f.course.evidence.Observe(o)
+		f.versions.evidence.Observe(o)
 	}
 }
 
-func (c *course) duration(route string) *durations {
-	d := c.durations[route]
+func (v *versions) duration(route string) *durations {
+	d := v.durations[route]
 	if d == nil {
 		d = &durations{}
-		c.durations[route] = d
+		v.durations[route] = d
 	}
 	return d
 }
@@ -141,7 +152,7 @@
 // as evidence, before their answers come.
 func (c *course) observeOverdue(now time.Time) {
 	for f := range c.flights {
-		if f.firstSeen || f.cold {
+		if f.counted || f.cold {
 			continue
 		}
 		waited := now.Sub(f.sent)
@@ -163,7 +174,7 @@
 }
 
 func (c *course) key(target bool, route string) health.Key {
-	key := health.Key{Pool: c.order.Service, Version: otherVersions, Route: route}
+	key := health.Key{Version: otherVersions, Route: route}
 	if target {
 		key.Version = c.order.Target
 	}
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -17,6 +17,9 @@
 	// by itself, and routeRequests the number of requests that this takes.
 	routePart     = 0.1
 	routeRequests = 4
+	// baselineRequests is the number of requests of other versions without which the target
+	// isn't contained.
+	baselineRequests = 60
 	// aheadBy is the number of requests by which the evidence on one route may be ahead of
 	// that on the route with the least.
 	aheadBy = 2
@@ -40,7 +43,7 @@
 	seen := map[string]uint64{}
 	least := uint64(plentyRequests)
 	for _, route := range c.routes() {
-		seen[route] = health.Seen(c.evidence.Window(c.key(true, route), evidenceWindow))
+		seen[route] = c.evidence.Window(c.key(true, route), evidenceWindow).GetRequests()
 		if c.counts(c.evidence.Window(c.key(false, route), evidenceWindow).GetRequests(), all) {
 			least = min(least, seen[route])
 		}
@@ -78,11 +81,15 @@
 func (c *course) fault() string {
 	for _, route := range append(c.routes(), allRoutes) {
 		old, target := c.key(false, route), c.key(true, route)
-		seen := health.Seen(c.evidence.Window(target, evidenceWindow))
+		seen := c.evidence.Window(target, evidenceWindow).GetRequests()
 		if seen == 0 {
 			continue
 		}
 		baseline := c.evidence.Window(old, evidenceWindow)
+		if baseline.GetRequests() < baselineRequests {
+			// What is usual isn't known yet, and the share is small.
+			continue
+		}
 		for _, window := range judgeWindows {
 			verdict := health.Judge(baseline, c.evidence.Window(target, window), containTolerance.After(seen))
 			if verdict.Decision == health.Faulty && c.worseNow(old, target, window) {
@@ -112,7 +119,7 @@
 		if verdict := health.Judge(old, target, proofTolerance); verdict.Decision == health.Faulty {
 			return verdict.Decision, named(route, verdict.Reason)
 		}
-		if c.counts(old.GetRequests(), all.GetRequests()) && health.Seen(target) < routeRequests {
+		if c.counts(old.GetRequests(), all.GetRequests()) && target.GetRequests() < routeRequests {
 			return health.Undecided, named(route, "too little evidence: "+evidenceOf(old, target))
 		}
 	}
@@ -120,8 +127,8 @@
 }
 
 func evidenceOf(old, target *lanepb.Evidence) string {
-	return fmt.Sprintf("%d requests seen of the target (%d ended, %d failed, %d broken), %d ended of others (%d failed, %d broken)",
-		health.Seen(target), target.GetRequests(), target.GetErrors(), target.GetBadAnswers(), old.GetRequests(), old.GetErrors(), old.GetBadAnswers())
+	return fmt.Sprintf("%d requests seen of the target (%d failed, %d broken), %d of others (%d failed, %d broken)",
+		target.GetRequests(), target.GetErrors(), target.GetBadAnswers(), old.GetRequests(), old.GetErrors(), old.GetBadAnswers())
 }
 
 func reasonOr(reason, other string) string {
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -92,7 +92,7 @@
 		return v.course
 	}
 	before := v.course
-	c := newCourse(order, began)
+	c := newCourse(order, began, v)
 	// A process that has read the orders before this one has sent nothing under it.
 	c.whole = !k.known.IsZero()
 	c.informed = c.whole
@@ -124,7 +124,7 @@
 	next.began, next.order.Duration = before.began, min(before.order.Duration, next.order.Duration)
 	next.stopped, next.whole = before.stopped, before.whole
 	next.sends, next.trials, next.routeSends = before.sends, before.trials, before.routeSends
-	next.evidence, next.told, next.durations, next.peers = before.evidence, before.told, before.durations, before.peers
+	next.told, next.peers = before.told, before.peers
 }
 
 // Recorded takes the newest record of a service.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -199,14 +199,57 @@
 
 // Guards against a version on trial that takes everything when the old servers are gone.
 func TestShareHoldsWithoutOldServers(t *testing.T) {
-	play(t, 5, good, func(w *world) {
-		w.order(1)
-		w.pass(4 * time.Second)
-		w.remove(oldVersion)
-		w.pass(orderTime - time.Since(w.ordered))
-		w.assertBounded()
-		w.c.Assert(w.log.states(1)[1], qt.Equals, rollout.StateReverted)
-	})
+	late := func(_ string, since time.Duration, _ int) bool { return since > 15*time.Second }
+	for name, version := range map[string]behaviour{"good": good, "slow": slower(0.6, always), "fails late": failing(0.5, late)} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 5, version, func(w *world) {
+				w.order(1)
+				w.pass(4 * time.Second)
+				w.remove(oldVersion)
+				for time.Since(w.ordered) < orderTime && len(w.log.states(1)) < 2 {
+					w.assertBounded()
+					w.pass(50 * time.Millisecond)
+				}
+				states := w.log.states(1)
+				w.c.Assert(states, qt.HasLen, 2)
+				w.c.Assert(states[1] == rollout.StateReverted || name == "good", qt.IsTrue)
+			})
+		})
+	}
+}
+
+// completions counts the seeds with which a version is completed.
+func completions(t *testing.T, seeds uint64, old, version behaviour) int {
+	n := 0
+	for seed := range seeds {
+		play(t, 5, version, func(w *world) {
+			w.random = rand.New(rand.NewPCG(seed, 3))
+			w.versions[oldVersion] = old
+			w.pass(10 * time.Second)
+			w.order(1)
+			if w.until(1, rollout.StateCompleted) {
+				n++
+			}
+			w.assertBounded()
+		})
+	}
+	return n
+}
+
+// Guards against a good version that is taken back because the service as a whole fails
+// part of its requests.
+func TestFailuresOfAllVersionsAreNoFault(t *testing.T) {
+	c := qt.New(t)
+	everywhere := failing(0.13, always)
+	c.Assert(completions(t, 20, everywhere, everywhere) >= 18, qt.IsTrue)
+	c.Assert(completions(t, 20, good, good), qt.Equals, 20)
+}
+
+// Guards against a version with a fault in few answers that is completed.
+func TestFaultInFewAnswersIsNoProof(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(completions(t, 20, good, failing(0.2, always)), qt.Equals, 0)
+	c.Assert(completions(t, 20, good, slower(0.3, always)), qt.Equals, 0)
 }
 
 // Guards against traffic to servers of a new version that register before the order is
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/health"
 )
 
 const (
@@ -24,10 +25,17 @@
 	fresh map[string]time.Time
 	// course is that of the newest order; nil if there is none.
 	course *course
+	// evidence and durations are kept without an order too: what is usual must be known
+	// before something else is tried.
+	evidence  *health.Collector
+	durations map[string]*durations
 }
 
 func newVersions() *versions {
-	return &versions{trusted: map[string]bool{}, blocked: map[string]string{}, fresh: map[string]time.Time{}}
+	return &versions{
+		trusted: map[string]bool{}, blocked: map[string]string{}, fresh: map[string]time.Time{},
+		evidence: health.NewCollector(health.CollectorOptions{}), durations: map[string]*durations{},
+	}
 }
 
 // target returns the version that is on trial, if there is one.
