--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -78,6 +78,11 @@
 
 // newAgedWorld returns a world whose configuration was confirmed some time ago.
 func newAgedWorld(t *testing.T, age time.Duration, servers ...serve) *world {
+	return newWorldWith(t, age, func(*world, *gateway.Options) {}, servers...)
+}
+
+// newWorldWith returns a world whose gateway has changed options.
+func newWorldWith(t *testing.T, age time.Duration, change func(*world, *gateway.Options), servers ...serve) *world {
 	c := qt.New(t)
 	w := &world{c: c, age: age, late: &lateness{}, holder: &fleet.Holder{}, dir: fleet.NewDirectory()}
 	for i, s := range servers {
@@ -87,8 +92,7 @@
 	w.manifest(1, "key")
 	client := upstream.New(upstream.Options{IDOf: func(h http.Header) string { return h.Get("Id") }})
 	t.Cleanup(client.CloseIdle)
-	var err error
-	w.gateway, err = gateway.New(gateway.Options{
+	options := gateway.Options{
 		Codec: codec{}, Manifest: w.holder, Directory: w.dir, Upstream: client,
 		Slots: slots.NewClient(nil), SlotAddress: func(fleet.Server) string { return "" },
 		Lateness: w.late, Entries: func() int { return 1 }, Limits: limit.NewPool(time.Now()),
@@ -97,7 +101,10 @@
 			Retries: gateway.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
 		},
 		Logger: zerolog.Nop(),
-	})
+	}
+	change(w, &options)
+	var err error
+	w.gateway, err = gateway.New(options)
 	c.Assert(err, qt.IsNil)
 	w.front = httptest.NewServer(w.gateway)
 	t.Cleanup(w.front.Close)
--- /dev/null
+++ b/internal/gateway/rollout_test.go
@@ -0,0 +1,75 @@
+package gateway_test
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/gateway"
+	"github.com/lagoonlane/lagoonlane/internal/rollout"
+)
+
+// rolloutWorld is a world with one server of version v1 and one of v2, and a keeper of
+// roll-outs. Arrivals counts the requests at each.
+func rolloutWorld(t *testing.T, target serve) (w *world, keeper *rollout.Keeper, arrivals *[2]atomic.Int64) {
+	arrivals = &[2]atomic.Int64{}
+	counted := func(i int, s serve) serve {
+		return func(request *http.Request, conn net.Conn) {
+			arrivals[i].Add(1)
+			s(request, conn)
+		}
+	}
+	w = newWorldWith(t, 0, func(w *world, options *gateway.Options) {
+		var err error
+		keeper, err = rollout.New(rollout.Options{
+			ID: "entry", Bounds: rollout.Bounds{Share: 0.1, Slack: 10}, Log: nil, Ready: w.dir.Ready,
+			Standing: func() rollout.Standing { return rollout.Standing{Known: 1, Quorate: true} }, Logger: zerolog.Nop(),
+		})
+		w.c.Assert(err, qt.IsNil)
+		options.Rollouts = keeper
+	}, counted(0, whole(200, "old")), counted(1, target))
+	versions := map[string]string{"server-0": "v1", "server-1": "v2"}
+	for _, server := range w.dir.Ready("plain", time.Now()) {
+		server.Version = versions[server.ID]
+		w.dir.Put(server)
+	}
+	return w, keeper, arrivals
+}
+
+// Guards against a version on trial that takes requests like any other, and against
+// repeats that are sent to it.
+func TestVersionOnTrialGetsItsShareOnly(t *testing.T) {
+	w, keeper, arrivals := rolloutWorld(t, whole(500, "bad"))
+	keeper.OrdersKnown(time.Now())
+	keeper.Ordered(rollout.Order{Service: "plain", Target: "v2", Duration: time.Minute, ID: 1})
+	for range 200 {
+		response, body, err := w.call("GET", "/safe/x", "")
+		w.c.Assert(err, qt.IsNil)
+		// What fails on trial is repeated at a server that is known to be good.
+		w.c.Assert(response.StatusCode, qt.Equals, 200)
+		w.c.Assert(body, qt.Equals, "old")
+	}
+	w.c.Assert(arrivals[0].Load(), qt.Equals, int64(200))
+	trials := arrivals[1].Load()
+	w.c.Assert(trials >= 8 && trials <= 14, qt.IsTrue, qt.Commentf("%d trials", trials))
+}
+
+// Guards against requests to a version that another entry contained.
+func TestContainedVersionGetsNothing(t *testing.T) {
+	w, keeper, arrivals := rolloutWorld(t, whole(200, "new"))
+	keeper.OrdersKnown(time.Now())
+	keeper.Ordered(rollout.Order{Service: "plain", Target: "v2", Duration: time.Minute, ID: 1})
+	keeper.Hear("other", "boot", []rollout.Report{{Service: "plain", Target: "v2", Order: 1, DurationMS: 60_000, Stopped: "errors"}}, time.Now())
+	for range 100 {
+		_, _, err := w.call("GET", "/safe/x", "")
+		w.c.Assert(err, qt.IsNil)
+	}
+	w.c.Assert(arrivals[1].Load(), qt.Equals, int64(0))
+	w.c.Assert(keeper.Stopped(fleet.Server{Service: "plain", Version: "v2"}), qt.IsTrue)
+}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -35,6 +35,10 @@
 }
 
 func newEntry(t *testing.T, id string, configuration roster.Configuration) *entry {
+	return newEntryWith(t, id, configuration, nil)
+}
+
+func newEntryWith(t *testing.T, id string, configuration roster.Configuration, rollouts roster.Rollouts) *entry {
 	e := &entry{configuration: configuration, pool: limit.NewPool(time.Now())}
 	mux := http.NewServeMux()
 	server := httptest.NewUnstartedServer(nil)
@@ -46,7 +50,7 @@
 	e.address = server.Listener.Addr().String()
 	e.Roster = roster.New(roster.Options{
 		ID: id, Address: e.address, Boot: id, Client: client, Pool: e.pool, Logger: zerolog.Nop(),
-		Configuration: e.current,
+		Configuration: e.current, Rollouts: rollouts,
 		Offer: func(raw []byte) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
