--- a/internal/rollout/exchange.go
+++ b/internal/rollout/exchange.go
@@ -86,16 +86,17 @@
 			c.began = began
 		}
 		c.informed = true
-		if r.Stopped != "" && c.open() {
+		k.settle(c, r.State, "entry "+id)
+		if !c.open() {
+			continue
+		}
+		if r.Stopped != "" {
 			k.stop(c, r.Stopped, "entry "+id)
 		}
 		if r.Moving && c.stopped == "" && !c.moving {
 			k.move(c, "entry "+id)
 		}
-		k.settle(c, r.State, "entry "+id)
-		if c.open() {
-			k.hearEvidence(c, id, boot, r.Evidence)
-		}
+		k.hearEvidence(c, id, boot, r.Evidence)
 	}
 }
 
