--- a/internal/rollout/harness_test.go
+++ b/internal/rollout/harness_test.go
@@ -43,9 +43,9 @@
 	mu           sync.Mutex
 	records      []rollout.Record
 	down, losing bool
-	calls        int
-	// wroteLast names the entry that appended last.
-	wroteLast string
+	// refused names an entry that the store turns away.
+	refused string
+	calls   int
 }
 
 // logOf is the log as one entry reaches it.
@@ -58,7 +58,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
-	if l.down {
+	if l.down || l.id == l.refused {
 		return rollout.Record{}, 0, &storeError{"down"}
 	}
 	var newest rollout.Record
@@ -74,14 +74,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
-	if l.down {
+	if l.down || l.id == l.refused {
 		return &storeError{"down"}
 	}
 	if end != uint64(len(l.records)) {
 		return &storeError{"conflict"}
 	}
 	l.records = append(l.records, record)
-	l.wroteLast = l.id
 	if l.losing {
 		return &storeError{"the answer is lost"}
 	}
@@ -153,10 +152,14 @@
 	running map[string]int
 	// lastTarget is when the new version got its last request.
 	lastTarget time.Time
-	// cut are pairs of entries that don't reach each other: all if it is set.
+	// cut says that no entry reaches another one.
 	cut bool
+	// rate is the number of requests a second.
+	rate int
 }
 
+func (e *entry) recordsKnown() { e.RecordsKnown() }
+
 // play runs a world of entries in virtual time.
 func play(t *testing.T, entries int, version behaviour, run func(w *world)) {
 	t.Helper()
@@ -170,6 +173,7 @@
 		w := &world{
 			T: t, c: qt.New(t), log: &fakeLog{}, random: rand.New(rand.NewPCG(1, 2)), ctx: ctx,
 			versions: map[string]behaviour{oldVersion: good, newVersion: version},
+			rate:     requestRate,
 			sends:    map[string]int{}, running: map[string]int{},
 		}
 		w.add(oldVersion, 4)
@@ -305,7 +309,10 @@
 // traffic sends requests to the entries in turn, unevenly.
 func (w *world) traffic() {
 	for n := 0; w.ctx.Err() == nil; n++ {
-		time.Sleep(time.Second / requestRate)
+		w.mu.Lock()
+		pause := time.Second / time.Duration(w.rate)
+		w.mu.Unlock()
+		time.Sleep(pause)
 		w.mu.Lock()
 		e := w.entries[min(w.random.IntN(len(w.entries)), w.random.IntN(len(w.entries)+1))]
 		route := routes[w.random.IntN(len(routes))]
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -121,6 +121,29 @@
 	}
 }
 
+// Guards against an order that waits for an entry that lives but can't reach the store.
+func TestAnotherEntryRecordsWhenTheFirstCannot(t *testing.T) {
+	for name, want := range map[string]rollout.State{"good": rollout.StateCompleted, "fails": rollout.StateReverted} {
+		play(t, 5, map[string]behaviour{"good": good, "fails": failing(0.4, always)}[name], func(w *world) {
+			w.log.refused = "entry-0"
+			w.order(1)
+			w.c.Assert(w.until(1, want), qt.IsTrue, qt.Commentf("%s", name))
+		})
+	}
+}
+
+// Guards against a version whose answers don't come, and which is judged by those that do.
+func TestAnswersCountWhileTheyAreAwaited(t *testing.T) {
+	hangs := func(*rand.Rand, string, time.Duration, int) answer {
+		return answer{first: 15 * time.Second, whole: 15 * time.Second}
+	}
+	play(t, 5, hangs, func(w *world) {
+		w.order(1)
+		w.c.Assert(w.until(1, rollout.StateReverted), qt.IsTrue)
+		w.c.Assert(time.Since(w.ordered) < 6*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(w.ordered)))
+	})
+}
+
 // Guards against containment that needs the store, and against an order that is never
 // recorded as reverted after an outage.
 func TestBadVersionIsContainedWhileTheStoreIsAway(t *testing.T) {
@@ -146,6 +169,37 @@
 		w.pass(orderTime - time.Since(w.ordered))
 		w.assertUntouched(3 * time.Second)
 		w.assertBounded()
+		w.log.set(false, false)
+		w.pass(3 * time.Second)
+		states := w.log.states(1)
+		w.c.Assert(states[len(states)-1], qt.Equals, rollout.StateReverted)
+	})
+}
+
+// Guards against a version that is completed because nothing was seen of it.
+func TestVersionWithTooLittleEvidenceIsReverted(t *testing.T) {
+	play(t, 5, good, func(w *world) {
+		w.rate = 6
+		w.order(1)
+		w.c.Assert(w.until(1, rollout.StateReverted), qt.IsTrue)
+		w.assertBounded()
+	})
+}
+
+// Guards against a process that has started during an order, and sends to its target before
+// it knows whether the order has ended.
+func TestStartedProcessTriesNothingBeforeItKnowsTheState(t *testing.T) {
+	play(t, 1, good, func(w *world) {
+		w.log.set(true, false)
+		id := w.kill(0)
+		w.add(newVersion, 4)
+		w.restart(0, id, rollout.Order{Service: "model", Target: newVersion, Duration: orderTime, ID: 1})
+		w.pass(10 * time.Second)
+		w.c.Assert(w.lastTarget.IsZero(), qt.IsTrue)
+		w.log.set(false, false)
+		w.each((*entry).recordsKnown)
+		w.pass(5 * time.Second)
+		w.c.Assert(w.lastTarget.IsZero(), qt.IsFalse)
 	})
 }
 
