Roll-outs: one age for an order, and no starving where its end isn't known

Entries tell how an order ended for as long as they know it, and one that can't learn it serves from the servers that are left once the order is over.

--- a/internal/rollout/exchange.go
+++ b/internal/rollout/exchange.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"bytes"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -9,10 +11,6 @@
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 )
 
-// finalFor is how long after an order's deadline an entry still tells the others how it
-// ended.
-const finalFor = 30 * time.Second
-
 // ageTolerance is by how much an order must be older by another entry's account to take
 // that over. It is more than an exchange takes: each one makes the order look older.
 const ageTolerance = 500 * time.Millisecond
@@ -44,7 +42,9 @@
 // heard is what was heard from another entry.
 type heard struct {
 	boot string
-	sum  map[health.Key]*lanepb.Evidence
+	// encoded is the evidence as it came, sum what it says.
+	encoded [][]byte
+	sum     map[health.Key]*lanepb.Evidence
 }
 
 // Report returns what this entry tells the others.
@@ -55,7 +55,7 @@
 	var all []Report
 	for _, v := range k.services {
 		c := v.course
-		if c == nil || (!c.open() && now.Sub(c.deadline()) > finalFor) {
+		if c == nil {
 			continue
 		}
 		r := Report{
@@ -107,6 +107,10 @@
 		h = &heard{boot: boot, sum: map[health.Key]*lanepb.Evidence{}}
 		c.peers[id] = h
 	}
+	if slices.EqualFunc(h.encoded, encoded, bytes.Equal) {
+		return
+	}
+	h.encoded = encoded
 	for _, data := range encoded {
 		e := &lanepb.Evidence{}
 		if err := proto.Unmarshal(data, e); err != nil {
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -239,6 +239,10 @@
 	}
 	target, others := split(ready, c.order.Target)
 	others = v.usual(others)
+	if !c.informed && len(others) == 0 && !now.Before(c.deadline()) {
+		// The order has ended, whichever way: the servers that are left are those that stay.
+		return Choice{First: target}
+	}
 	if c.stopped != "" || !c.informed || len(target) == 0 || !now.Before(c.deadline()) {
 		return Choice{First: others}
 	}
