--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -239,7 +239,7 @@
 
 // An answer that this process has no memory for is not the backend server's fault.
 func TestCutByMemory(t *testing.T) {
-	w := newWorldWith(t, 0, func(o *gateway.Options) { o.HeldBytes = 256 << 10 }, whole(200, strings.Repeat("x", 250<<10)))
+	w := newWorldWith(t, 0, func(_ *world, o *gateway.Options) { o.HeldBytes = 256 << 10 }, whole(200, strings.Repeat("x", 250<<10)))
 	_, _, err := w.call("POST", "/unsafe/x", "p")
 	w.c.Assert(err, qt.IsNil)
 	w.c.Assert(w.line("request")["cut_by"], qt.Equals, string(gateway.CutMemory))
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -180,7 +180,7 @@
 	var mu sync.Mutex
 	var log bytes.Buffer
 	reader := sdkmetric.NewManualReader()
-	w := newWorldWith(t, 0, func(o *gateway.Options) {
+	w := newWorldWith(t, 0, func(_ *world, o *gateway.Options) {
 		o.Logger = zerolog.New(zerolog.SyncWriter(writerFunc(func(p []byte) (int, error) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
 
@@ -28,6 +29,8 @@
 // progress is how far a call has come over one or several backend servers.
 type progress struct {
 	relay *relay
+	// flight tells the roll-out of the service, if there is one, of the last send.
+	flight *rollout.Flight
 	// tried holds the ids of the backend servers that may not be chosen again.
 	tried map[string]bool
 	// sends counts the requests that left this process, ran those that may have run.
@@ -183,6 +186,7 @@
 	}
 	sent := time.Now()
 	g.servers.begin(at.server.ID)
+	p.flight = g.options.Rollouts.Begin(at.server, one.route.Name)
 	p.server = at.server.ID
 	p.tried[at.server.ID] = true
 	result := g.exchange(ctx, one, p, at)
@@ -203,11 +207,16 @@
 		p.firstEvent = result.firstEvent
 	}
 	at.release(outcome)
+	p.flight.End(rollout.Landing{
+		Unsent: result.verdict == verdictUnsent, Rejected: result.verdict == verdictRejected || result.verdict == verdictReplaced,
+		Failed: outcome.Failed && result.firstEvent == 0, Broken: outcome.Failed && result.firstEvent > 0, Cut: cut,
+		FirstEvent: result.firstEvent, Events: result.events,
+	})
 	g.servers.finished(at.server.ID, result, time.Since(sent), cut)
 	return result.verdict, result.err
 }
 
 // stillUsable reports whether a backend server may get a request now.
 func (g *Gateway) stillUsable(server fleet.Server) bool {
-	return g.options.Directory.Usable(server.ID, time.Now())
+	return g.options.Directory.Usable(server.ID, time.Now()) && !g.options.Rollouts.Stopped(server)
 }
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -157,7 +157,8 @@
 	if !g.retries.left(one.service, g.options.Entries(), now) {
 		return nil, errNoRepeat
 	}
-	list := g.servers.usable(g.options.Directory.Ready(one.service, now), tried, now)
+	ready := g.options.Rollouts.Choose(one.service, one.route.Name, g.options.Directory.Ready(one.service, now), true, now).First
+	list := g.servers.usable(ready, tried, now)
 	if len(list) == 0 {
 		return nil, unavailable(KindNoServer, defaultRetryAfter, "the service has no other backend server")
 	}
