Let a reload that hangs hold no stop up

All signals went through one goroutine, so a settings file that can't be read to its end (storage that hangs) kept SIGTERM waiting until the kill. Each signal now has a goroutine of its own. Found by reading.

TestReloadThatHangsHoldsNoStopUp (go test -race -count 1 -run ReloadThatHangs ./bench/e2e), before: "edge is still running" 8 s after SIGTERM; now it passes, with the other tests of signals (42.0 s).

--- a/bench/e2e/signal_test.go
+++ b/bench/e2e/signal_test.go
@@ -213,3 +213,16 @@
 		time.Sleep(reloadPause)
 	}
 }
+
+// Settings that can't be read, on storage that hangs, held up the stop until the process was killed.
+func TestReloadThatHangsHoldsNoStopUp(t *testing.T) {
+	s := newPlatformSite(t)
+	s.start(s.sidecar, s.entry)
+	// A pipe without a writer: reading it never returns.
+	s.c.Assert(os.Remove(s.entry.settings), qt.IsNil)
+	s.c.Assert(syscall.Mkfifo(s.entry.settings, 0o600), qt.IsNil)
+	s.c.Assert(s.entry.Reload(), qt.IsNil)
+	time.Sleep(reloadPause)
+	s.c.Assert(s.entry.Terminate(), qt.IsNil)
+	s.stops(s.entry)
+}
--- a/cmd/lagoonlane/signals.go
+++ b/cmd/lagoonlane/signals.go
@@ -11,9 +11,6 @@
 	"github.com/rs/zerolog"
 )
 
-// signalBacklog is the number of signals that may wait: a few of each that is handled.
-const signalBacklog = 16
-
 // handledSignals are the signals that signalHandler takes, by their names in the log. The
 // default action of each would end the process and all that it runs.
 var handledSignals = map[os.Signal]string{
@@ -51,18 +48,19 @@
 // takeSignals returns the handler of all signals of the process, and a context as newSignals does.
 func takeSignals() (context.Context, *signalHandler) {
 	ctx, s := newSignals()
-	received := make(chan os.Signal, signalBacklog)
 	for one := range handledSignals {
+		// Each has a goroutine of its own, which ends with the process: a reload that hangs
+		// must not hold up a stop.
+		received := make(chan os.Signal, 1)
 		signal.Notify(received, one)
+		go func() {
+			for range received {
+				s.handle(one)
+			}
+		}()
 	}
 	// A process without a reader of its log must not end at the next line: writes fail instead.
 	signal.Ignore(syscall.SIGPIPE)
-	// It ends with the process.
-	go func() {
-		for one := range received {
-			s.handle(one)
-		}
-	}()
 	return ctx, s
 }
 
@@ -80,7 +78,7 @@
 
 func (s *signalHandler) handle(received os.Signal) {
 	if received != syscall.SIGHUP {
-		// First of all, so that a log that blocks can't hold up the stop.
+		// First of all: a reload under way may hold mu.
 		s.stop(&SignalError{Name: handledSignals[received]})
 	}
 	s.mu.Lock()
