--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,10 +22,11 @@
 	cut        metric.Int64Counter
 	firstEvent metric.Float64Histogram
 	waited     metric.Float64Histogram
+	badBytes   metric.Int64Counter
 	whole      metric.Float64Histogram
 }
 
-func newMetrics(meter metric.Meter, delay func() time.Duration, requests *Requests) (*metrics, error) {
+func newMetrics(meter metric.Meter, delay func() time.Duration, held func() int64, requests *Requests) (*metrics, error) {
 	if meter == nil {
 		meter = noop.Meter{}
 	}
@@ -40,6 +41,9 @@
 	if m.cut, err = meter.Int64Counter("lagoonlane_gateway_answers_cut", metric.WithDescription("accepted requests without a whole answer by what ended them")); err != nil {
 		return nil, errors.WithStack(err)
 	}
+	if m.badBytes, err = meter.Int64Counter("lagoonlane_gateway_bad_bytes", metric.WithDescription("exchanges with bytes of backend servers that are no answer or too many, by kind")); err != nil {
+		return nil, errors.WithStack(err)
+	}
 	for name, target := range map[string]*metric.Float64Histogram{
 		"lagoonlane_gateway_first_event": &m.firstEvent,
 		"lagoonlane_gateway_slot_wait":   &m.waited,
@@ -49,35 +53,29 @@
 			return nil, errors.WithStack(err)
 		}
 	}
-	if err := m.observeRunning(meter, requests); err != nil {
-		return nil, err
-	}
-	return m, m.observeDelay(meter, delay)
+	return m, m.observe(meter, delay, held, requests)
 }
 
-// observeRunning shows how many requests run.
-func (m *metrics) observeRunning(meter metric.Meter, requests *Requests) error {
-	gauge, err := meter.Int64ObservableGauge("lagoonlane_gateway_running", metric.WithDescription("requests that wait or run"))
+// observe shows how late this process is, what runs, and how much it holds.
+func (m *metrics) observe(meter metric.Meter, delay func() time.Duration, held func() int64, requests *Requests) error {
+	late, err := meter.Float64ObservableGauge("lagoonlane_process_delay", metric.WithUnit("s"))
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		o.ObserveInt64(gauge, requests.Running())
-		return nil
-	}, gauge)
-	return errors.WithStack(err)
-}
-
-// observeDelay shows how late this process is.
-func (m *metrics) observeDelay(meter metric.Meter, delay func() time.Duration) error {
-	gauge, err := meter.Float64ObservableGauge("lagoonlane_process_delay", metric.WithUnit("s"))
+	bytes, err := meter.Int64ObservableGauge("lagoonlane_gateway_held", metric.WithUnit("By"))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	running, err := meter.Int64ObservableGauge("lagoonlane_gateway_running", metric.WithDescription("requests that wait or run"))
 	if err != nil {
 		return errors.WithStack(err)
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		o.ObserveFloat64(gauge, delay().Seconds())
+		o.ObserveFloat64(late, delay().Seconds())
+		o.ObserveInt64(bytes, held())
+		o.ObserveInt64(running, requests.Running())
 		return nil
-	}, gauge)
+	}, late, bytes, running)
 	return errors.WithStack(err)
 }
 
