--- a/internal/upstream/bounds.go
+++ b/internal/upstream/bounds.go
@@ -34,28 +34,29 @@
 
 // Kinds of excess.
 const (
-	ExcessHead    ExcessKind = "head"
-	ExcessInterim ExcessKind = "interim-heads"
-	ExcessStray   ExcessKind = "stray-answers"
-	ExcessDrain   ExcessKind = "unused-body"
-	ExcessSurplus ExcessKind = "after-answer"
-	ExcessBody    ExcessKind = "body"
-	ExcessEvent   ExcessKind = "event"
-	ExcessEvents  ExcessKind = "events"
+	ExcessHead       ExcessKind = "head"
+	ExcessInterim    ExcessKind = "interim-heads"
+	ExcessStray      ExcessKind = "stray-answers"
+	ExcessStrayBytes ExcessKind = "stray-bytes"
+	ExcessDrain      ExcessKind = "unused-body"
+	ExcessSurplus    ExcessKind = "after-answer"
+	ExcessBody       ExcessKind = "body"
+	ExcessEvent      ExcessKind = "event"
+	ExcessEvents     ExcessKind = "events"
 )
 
 // ExcessError says that a backend server sent more than an answer may have: bytes
 // without end can't be told from it.
 type ExcessError struct {
 	Kind ExcessKind
-	// Read is how much was read and Limit how much may be, in bytes; events and interim
-	// heads are counted.
+	// Read is how much was read and Limit how much may be, in bytes; events, interim heads
+	// and stray answers are counted.
 	Read  int64
 	Limit int64
 }
 
 func (e *ExcessError) Error() string {
-	return fmt.Sprintf("too much of %s: %d where %d may be", e.Kind, e.Read, e.Limit)
+	return fmt.Sprintf("%s without end: more than %d, %d read", e.Kind, e.Limit, e.Read)
 }
 
 // MalformedError says that a backend server sent bytes that are no answer.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -143,13 +143,13 @@
 		if response.Close {
 			return nil, errors.WithStack(&StrayError{ID: id})
 		}
-		c.in.bound(ExcessStray, maxStrayBytes-stray)
+		c.in.bound(ExcessStrayBytes, maxStrayBytes-stray)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, errors.WithStack(&StrayError{ID: id, Cause: c.in.explain(err)})
 		}
 		stray = min(c.in.read, maxStrayBytes)
 	}
-	return nil, errors.WithStack(&ExcessError{Kind: ExcessStray, Read: c.in.read, Limit: maxStrayBytes})
+	return nil, errors.WithStack(&ExcessError{Kind: ExcessStray, Read: maxStray + 1, Limit: maxStray})
 }
 
 // readFinalHead reads the head of one answer; interim heads before it are passed over.
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -105,8 +105,8 @@
 		"no answer":      {"", "x", upstream.ExcessHead},
 		"zeros":          {"", "\x00", upstream.ExcessHead},
 		"stray answers":  {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx", upstream.ExcessStray},
-		"stray body":     {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 99999999\r\n\r\n", "x", upstream.ExcessStray},
-		"stray chunks":   {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", upstream.ExcessStray},
+		"stray body":     {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 99999999\r\n\r\n", "x", upstream.ExcessStrayBytes},
+		"stray chunks":   {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", upstream.ExcessStrayBytes},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
