Entry: take callers' bodies from the budget of held bytes too

On our own interface, too, bodies were bounded one by one only, and a caller that announced 8 MiB and sent nothing had a buffer of 8 MiB. They come from a budget of 256 MiB for the process now (settings there name no memory) and grow with what came; beyond it a request is shed, truly not run, with Retry-After.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/prefix"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/configpb"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
@@ -34,7 +35,7 @@
 }
 
 // parseChat reads a chat completion.
-func (e *Entry) parseChat(w http.ResponseWriter, r *http.Request) (*call, *Problem) {
+func (e *Entry) parseChat(w http.ResponseWriter, r *http.Request, hold *membudget.Hold) (*call, *Problem) {
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", http.MethodPost)
 		return nil, notRun(KindMethod, http.StatusMethodNotAllowed, chatPath+" takes POST only")
@@ -43,7 +44,7 @@
 	if problem != nil {
 		return nil, problem
 	}
-	body, problem := readBody(w, r, largestModelBody(one.state))
+	body, problem := readBody(w, r, largestModelBody(one.state), hold)
 	if problem != nil {
 		return nil, problem
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/routing"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 )
@@ -30,6 +31,7 @@
 	limits   *limit.Limiter
 	metrics  *metrics
 	waiting  *waitingSlots
+	held     *membudget.Budget
 
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -68,6 +70,7 @@
 		limits:   newLimiter(options),
 		metrics:  instruments,
 		waiting:  newWaitingSlots(),
+		held:     membudget.New(options.HeldBytes),
 	}
 	if options.AccountUse != nil {
 		options.AccountUse.SetUse(func() []*lanepb.AccountUse { return e.limits.Report(time.Now()) })
@@ -137,8 +140,8 @@
 	return true
 }
 
-// parser reads one kind of request.
-type parser func(w http.ResponseWriter, r *http.Request) (*call, *Problem)
+// parser reads one kind of request; its body is held as long as the request is there.
+type parser func(w http.ResponseWriter, r *http.Request, hold *membudget.Hold) (*call, *Problem)
 
 // drainRetryAfter is when a caller that met a draining entry should come back:
 // the balancer sends it to another one.
@@ -153,7 +156,9 @@
 			return
 		}
 		defer e.running.Done()
-		one, problem := parse(w, r)
+		hold := e.held.Hold()
+		defer hold.Release()
+		one, problem := parse(w, r, hold)
 		if problem != nil {
 			e.metrics.rejected(problem)
 			problem.write(w)
--- /dev/null
+++ b/internal/entry/memory_test.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A body that the entry has no memory for has not run, and its caller may come back;
+// what others hold is given back with their answers.
+func TestBodyWithoutMemoryIsShed(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		lane := newFakeLane("a", answerFrames(200, "application/json", `{"a":1}`)...)
+		cell := newTestCell(t, func(o *Options) { o.HeldBytes = 6000 }, lane)
+		long := chatBody + strings.Repeat(" ", 4096-len(chatBody))
+		response, body, err := cell.do(t, cell.request(t, http.MethodPost, chatPath, long))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(t, response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		qt.Check(t, problemOf(t, response, body).Outcome, qt.Equals, OutcomeNotRun)
+		for range 5 {
+			response, _, err := cell.do(t, cell.request(t, http.MethodPost, chatPath, chatBody))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, response.StatusCode, qt.Equals, http.StatusOK)
+		}
+	})
+}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -53,6 +53,8 @@
 	// ID is unique among instances. Required.
 	ID         string
 	DataCentre string
+	// HeldBytes bounds the bodies of all requests together; 0 means the default of membudget.
+	HeldBytes int64
 	// Config is the configuration in force. Required.
 	Config config.View
 	// Instances is the platform's instance list. Required.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -11,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/configpb"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 )
@@ -31,6 +31,9 @@
 	maxKeyBytes = 256
 	// defaultMaxBodyBytes bounds the body on a route that names no bound.
 	defaultMaxBodyBytes = 8 << 20
+	// memoryRetryAfter is told to a caller whose body an entry has no memory for: the
+	// balancer sends it to another one.
+	memoryRetryAfter = 200 * time.Millisecond
 	// defaultTimeout is the deadline where neither tier nor route names one.
 	defaultTimeout = 60 * time.Second
 	// defaultMaxTimeout bounds the deadline on a route that names no bound.
@@ -172,7 +175,7 @@
 }
 
 // readBody reads a body of at most limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit uint64) ([]byte, *Problem) {
+func readBody(w http.ResponseWriter, r *http.Request, limit uint64, hold *membudget.Hold) ([]byte, *Problem) {
 	if limit == 0 {
 		limit = defaultMaxBodyBytes
 	}
@@ -182,26 +185,21 @@
 		return nil, tooLarge
 	}
 	reader := http.MaxBytesReader(w, r.Body, int64(limit))
-	body, err := readAll(reader, r.ContentLength)
+	body, err := hold.ReadAll(reader, r.ContentLength, 0)
 	var over *http.MaxBytesError
+	var exhausted *membudget.ExhaustedError
 	if errors.As(err, &over) {
 		return nil, tooLarge
 	}
+	if errors.As(err, &exhausted) {
+		return nil, notRun(KindShed, http.StatusServiceUnavailable, "this entry is short of memory for the body").after(memoryRetryAfter)
+	}
 	if err != nil {
 		return nil, notRun(KindMalformed, http.StatusBadRequest, "the body could not be read")
 	}
 	return body, nil
 }
 
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 // hopHeaders are the headers of one connection, and those that end at the entry.
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/configpb"
 )
 
@@ -15,7 +16,7 @@
 }
 
 // parseService reads a request to a plain service.
-func (e *Entry) parseService(w http.ResponseWriter, r *http.Request) (*call, *Problem) {
+func (e *Entry) parseService(w http.ResponseWriter, r *http.Request, hold *membudget.Hold) (*call, *Problem) {
 	if !serviceMethods[r.Method] {
 		w.Header().Set("Allow", "GET, HEAD, OPTIONS, PUT, DELETE, POST, PATCH")
 		return nil, notRun(KindMethod, http.StatusMethodNotAllowed, "services do not take the method "+strconv.Quote(r.Method))
@@ -38,7 +39,7 @@
 		return nil, problem
 	}
 	one.header = forwardHeaders(r.Header)
-	one.body, problem = readBody(w, r, bodyLimit(route))
+	one.body, problem = readBody(w, r, bodyLimit(route), hold)
 	return one, problem
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -26,8 +25,6 @@
 	shortCall = 1500 * time.Millisecond
 	// cautiousTokenTime is the time for one output token at a slow engine.
 	cautiousTokenTime = 10 * time.Millisecond
-	// defaultHeldBytes is for processes that don't know how much memory they have.
-	defaultHeldBytes = 256 << 20
 )
 
 // Bounds are the limits that the deployment sets.
@@ -56,7 +53,7 @@
 	Limits  *limit.Pool
 	Bounds  Bounds
 	// HeldBytes bounds the bodies and answers that are held for all requests together; 0
-	// means defaultHeldBytes.
+	// means the default of membudget.
 	HeldBytes int64
 	Logger    zerolog.Logger
 	Meter     metric.Meter
@@ -82,7 +79,7 @@
 		logger:  options.Logger,
 		servers: newServerTable(options.DataCentre),
 		retries: newRetryBudget(options.Bounds.Retries),
-		held:    membudget.New(cmp.Or(options.HeldBytes, defaultHeldBytes)),
+		held:    membudget.New(options.HeldBytes),
 	}
 	var err error
 	g.metrics, err = newMetrics(options.Meter, g.delay, g.held.Used)
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -4,6 +4,7 @@
 package membudget
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"sync"
@@ -14,6 +15,8 @@
 )
 
 const (
+	// defaultBytes is for processes that don't know how much memory they have.
+	defaultBytes = 256 << 20
 	// fairFrom is what one holder may have however little is free, in bytes: most bodies
 	// and answers are smaller, and a few large ones must not keep them out.
 	fairFrom = 16 << 10
@@ -47,8 +50,8 @@
 	used int64
 }
 
-// New returns a budget of some bytes.
-func New(total int64) *Budget { return &Budget{total: total} }
+// New returns a budget of some bytes; 0 means defaultBytes.
+func New(total int64) *Budget { return &Budget{total: cmp.Or(total, defaultBytes)} }
 
 // Used returns how many bytes are held.
 func (b *Budget) Used() int64 {
