Roll-outs: see a version whose answers are all two to three times later

The version was completed. All its answers were slow: medians of the first event of 199, 124 and 122 ms by route, 82, 74 and 44 ms of the old version, but hardly one above the old version's 0.9 quantile and longest by the tolerated 1.8 times.

Cause: the judge compares the tails at a few quantiles. The usual times spread by a factor of ten and more, as prompts do, so a shift of all times hides in them.

Change: health.SlowerScore ranks the target's times among the old version's on the same route, over all routes together. A proof needs times that rank no higher; a containment asks for 4.3 standard errors beyond a third.

--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -110,3 +111,34 @@
 		c.Assert(rate, qt.Equals, 0.0)
 	})
 }
+
+// Guards against a slow version that hides behind the spread of times between routes.
+func TestScoreSeesAShiftOfAllTimes(t *testing.T) {
+	c := qt.New(t)
+	times := func(random *rand.Rand, n int, mean time.Duration) []uint32 {
+		counts := make([]uint32, Buckets)
+		for range n {
+			counts[bucketOf(time.Duration(math.Exp(0.8*random.NormFloat64())*float64(mean)))]++
+		}
+		return counts
+	}
+	scores := func(factor time.Duration, fasterBy int) (least, most float64) {
+		least, most = math.Inf(1), math.Inf(-1)
+		for seed := range uint64(100) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			var strata []Stratum
+			for _, mean := range []time.Duration{20 * time.Millisecond, 80 * time.Millisecond, 300 * time.Millisecond} {
+				strata = append(strata, Stratum{Old: times(random, 150, mean), New: times(random, 13, factor*mean)})
+			}
+			score := SlowerScore(strata, fasterBy)
+			least, most = min(least, score), max(most, score)
+		}
+		return least, most
+	}
+	_, most := scores(1, 0)
+	c.Assert(most < 3, qt.IsTrue, qt.Commentf("the same times: %f", most))
+	least, _ := scores(3, 0)
+	c.Assert(least > 4, qt.IsTrue, qt.Commentf("three times longer: %f", least))
+	c.Assert(SlowerScore(nil, 0), qt.Equals, 0.0)
+	c.Assert(SlowerScore([]Stratum{{Old: make([]uint32, Buckets), New: make([]uint32, Buckets)}}, 0), qt.Equals, 0.0)
+}
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -77,7 +77,7 @@
 	if c.stopped != "" {
 		return
 	}
-	if reason := c.fault(); reason != "" {
+	if reason := c.fault(now); reason != "" {
 		k.stop(c, reason, "evidence")
 		return
 	}
@@ -90,7 +90,7 @@
 	if now.Sub(c.moveFrom()) < time.Duration(standing.Rank)*decideTurn {
 		return
 	}
-	decision, why := c.proof()
+	decision, why := c.proof(now)
 	switch {
 	case decision != health.Healthy:
 		k.stop(c, "not proven by its time: "+why, "clock")
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -20,6 +20,12 @@
 	// baselineRequests is the number of requests of other versions without which the target
 	// isn't contained.
 	baselineRequests = 60
+	// containScore and proofScore are the standard errors by which the target's times must
+	// rank above others' for a containment (a chance of 1e-5 for each look), and may rank
+	// for a proof (0.05): taking a good version back is cheaper than going on with a bad one. A containment asks for more than one bucket (a third).
+	containScore   = 4.3
+	containBuckets = 1
+	proofScore     = 1.7
 	// aheadBy is the number of requests by which the evidence on one route may be ahead of
 	// that on the route with the least.
 	aheadBy = 2
@@ -78,7 +84,10 @@
 )
 
 // fault returns why the target is faulty on some route, or on all together, if it is.
-func (c *course) fault() string {
+func (c *course) fault(now time.Time) string {
+	if reason := c.slower(now, containBuckets, containScore); reason != "" {
+		return reason
+	}
 	for _, route := range append(c.routes(), allRoutes) {
 		old, target := c.key(false, route), c.key(true, route)
 		seen := c.evidence.Window(target, evidenceWindow).GetRequests()
@@ -100,12 +109,34 @@
 	return ""
 }
 
+// slower returns why the target's times are longer than those of other versions on the same
+// routes at the same time, if they are so by a number of standard errors.
+func (c *course) slower(now time.Time, fasterBy int, limit float64) string {
+	window := min(max(now.Sub(c.began), time.Second), evidenceWindow)
+	var first, pace []health.Stratum
+	for _, route := range c.routes() {
+		old, target := c.evidence.Window(c.key(false, route), window), c.evidence.Window(c.key(true, route), window)
+		first = append(first, health.Stratum{Old: old.GetFirstToken(), New: target.GetFirstToken()})
+		pace = append(pace, health.Stratum{Old: old.GetInterToken(), New: target.GetInterToken()})
+	}
+	if score := health.SlowerScore(first, fasterBy); score > limit {
+		return fmt.Sprintf("first events rank %.1f standard errors above those of other versions", score)
+	}
+	if score := health.SlowerScore(pace, fasterBy); score > limit {
+		return fmt.Sprintf("paces rank %.1f standard errors above those of other versions", score)
+	}
+	return ""
+}
+
 func (c *course) worseNow(old, target health.Key, window time.Duration) bool {
 	return health.WorseAtTheSameTime(c.evidence.Slices(old, window, sameTimeSlices), c.evidence.Slices(target, window, sameTimeSlices), sameTimeTolerance)
 }
 
 // proof decides whether requests may move to the target, and says why not.
-func (c *course) proof() (health.Decision, string) {
+func (c *course) proof(now time.Time) (health.Decision, string) {
+	if reason := c.slower(now, 0, proofScore); reason != "" {
+		return health.Undecided, reason
+	}
 	all := c.evidence.Window(c.key(false, allRoutes), evidenceWindow)
 	target := c.evidence.Window(c.key(true, allRoutes), evidenceWindow)
 	if verdict := health.Judge(all, target, proofTolerance); verdict.Decision != health.Healthy {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -1,6 +1,7 @@
 package rollout_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -320,6 +321,24 @@
 	c.Assert(completions(t, 10, good, slower(0.3, always)), qt.Equals, 0)
 }
 
+// spread gives the times of good a spread as of prompts of all sizes, and makes them longer
+// by a factor.
+func spread(factor float64) behaviour {
+	return func(random *rand.Rand, route string, since time.Duration, load int) answer {
+		a := good(random, route, since, load)
+		first := time.Duration(factor * math.Exp(0.8*random.NormFloat64()) * float64(a.first))
+		return answer{first: first, whole: first + a.whole - a.first}
+	}
+}
+
+// Guards against a version all of whose answers come two to three times later, which hides in
+// the spread of the usual times: on covek-halo it was completed (share 0.15, seed 2).
+func TestSlowVersionDoesNotHideInTheSpread(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(completions(t, 10, spread(1), spread(2.5)), qt.Equals, 0)
+	c.Assert(completions(t, 10, spread(1), spread(1)) >= 9, qt.IsTrue)
+}
+
 // Guards against traffic to servers of a new version that register before the order is
 // read, and against a service that starves as it gets a version without an order.
 func TestNewVersionWaitsForItsOrder(t *testing.T) {
