Answer what has no answer at the end of the grace time

Callers whose requests waited for a slot, or had been sent and had no byte of an answer, saw their connection close when the grace time ended. The gateway aborted every request that ended with StoppedError, and the process closed its servers in the same moment, so that no answer could have got out.

Now such a request gets 503 with Retry-After if it was never sent (its tickets are withdrawn first) and 502 if it may have run; only an answer that has begun is cut. The process ends the requests, waits for their answers for at most half of the exit margin, then closes its servers, and waits a quarter of it for the lines of the rest. Refusals are flushed by the handler, so that one that has returned has its answer out.

go test -run EndOfTheGraceTime ./internal/gateway ./cmd/lagoonlane: three tests, all of which failed before (EOF instead of an answer).

--- a/cmd/lagoonlane/lifecyclelog.go
+++ b/cmd/lagoonlane/lifecyclelog.go
@@ -19,9 +19,15 @@
 	"github.com/lagoonlane/lagoonlane/platform"
 )
 
-// settleWithin is how long a process waits for the lines of the requests that it cut,
-// out of exitMargin: they end at once, unless there is no processor time.
-const settleWithin = exitMargin / 2
+const (
+	// answerWithin is how long a process waits, out of exitMargin, for the last answers of
+	// the requests that it ends. They come at once, unless there is no processor time or a
+	// caller doesn't read.
+	answerWithin = exitMargin / 2
+	// settleWithin is how long it waits for the lines of the rest, once their connections
+	// are closed.
+	settleWithin = exitMargin / 4
+)
 
 // lifecycleLog writes what a process tells of its own start and end. A process that
 // was killed is known by a start without the line of its end before it.
@@ -130,15 +136,23 @@
 		Int64("connections", connections.Open).Int64("connections_active", connections.Active)
 }
 
-// cutRunning ends the requests that still run.
-func (l *lifecycleLog) cutRunning() { l.end(&transport.StoppedError{}) }
+// cutRunning ends the requests that still run, and waits for the answers of those whose
+// callers have no part of one yet.
+func (l *lifecycleLog) cutRunning() {
+	l.end(&transport.StoppedError{})
+	l.settle(answerWithin)
+}
+
+func (l *lifecycleLog) settle(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	l.requests.Settle(ctx)
+}
 
 // stopped writes the last line of a process, after those of the requests that it cut.
 // Err is the failure of a part of it, or nil.
 func (l *lifecycleLog) stopped(err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), settleWithin)
-	defer cancel()
-	l.requests.Settle(ctx)
+	l.settle(settleWithin)
 	cut, named := l.requests.Cut()
 	connections := l.connections.Counts()
 	l.state().Dur("took_ms", time.Since(l.stopBegan)).Int("requests_cut", cut).Strs("request_ids", named).
--- a/cmd/lagoonlane/lifecyclelog_test.go
+++ b/cmd/lagoonlane/lifecyclelog_test.go
@@ -40,6 +40,7 @@
 	metrics string
 	file    string
 	out     string
+	backend *standin.Server
 }
 
 // freeAddress returns a loopback address that nobody listens on.
@@ -61,6 +62,7 @@
 		ID: "i-1", Service: "plain", Registered: freeAddress(c), Slots: 4, Events: 1 << 20, Born: time.Now(), Ledger: noLedger{},
 	}
 	backend.Address = backend.Registered
+	w.backend = backend
 	c.Assert(backend.Start(), qt.IsNil)
 	c.Cleanup(backend.Stop)
 	store.PutManifest(standin.Manifest{
@@ -68,6 +70,9 @@
 		Routes: []standin.Route{{
 			Name: "stream", Host: standin.Host, PathPrefix: "/stream/", Kind: "streaming", Service: "plain",
 			MaxServers: 1, TimeoutMS: 60_000, AimMS: 1000, GapMS: 1000,
+		}, {
+			Name: "call", Host: standin.Host, PathPrefix: "/call/", Kind: "unsafe", Service: "plain",
+			MaxServers: 1, TimeoutMS: 60_000, AimMS: 1000, GapMS: 1000,
 		}},
 		Services: []standin.Service{{Name: "plain"}},
 		Accounts: []standin.Account{{Name: "open", Keys: []string{"key-open"}, Unit: "token_count", Plain: 1}},
@@ -119,11 +124,7 @@
 
 // open begins a stream, reads its first event and returns what closes its connection.
 func (w *told) open(id string) (leave func()) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+w.front+"/stream/x", strings.NewReader("p"))
-	w.c.Assert(err, qt.IsNil)
-	request.Host = standin.Host
-	request.Header = standin.Ask{ID: id, Key: "key-open", Patience: time.Minute}.Header()
-	response, err := http.DefaultClient.Do(request)
+	response, err := w.send(id, "/stream/x")
 	w.c.Assert(err, qt.IsNil)
 	w.c.Cleanup(func() { response.Body.Close() })
 	w.c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
@@ -149,18 +150,54 @@
 
 func (*stopError) Error() string { return "the test stops it" }
 
-func TestStopAndCutRequestsAreTold(t *testing.T) {
-	w := newTold(t)
-	ctx, stop := context.WithCancelCause(t.Context())
+// run runs the entry until stop is called; ended gets its error.
+func (w *told) run() (stop context.CancelCauseFunc, ended <-chan error) {
+	ctx, stop := context.WithCancelCause(w.c.Context())
 	_, port, err := net.SplitHostPort(w.metrics)
 	w.c.Assert(err, qt.IsNil)
 	var metricsPort int
 	_, err = fmt.Sscan(port, &metricsPort)
 	w.c.Assert(err, qt.IsNil)
-	ended := make(chan error, 1)
+	done := make(chan error, 1)
 	_, signals := newSignals()
-	go func() { ended <- runPlatformEntry(ctx, signals, metricsPort) }()
+	go func() { done <- runPlatformEntry(ctx, signals, metricsPort) }()
 	w.awaitReady()
+	return stop, done
+}
+
+// send sends a request of a path and returns its answer.
+func (w *told) send(id, path string) (*http.Response, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+w.front+path, strings.NewReader("p"))
+	w.c.Assert(err, qt.IsNil)
+	request.Host = standin.Host
+	request.Header = standin.Ask{ID: id, Key: "key-open", Patience: time.Minute}.Header()
+	return http.DefaultClient.Do(request)
+}
+
+// A request that had no byte of an answer at the end of the grace time lost its connection.
+func TestRequestWithoutAnswerIsAnsweredAtTheEndOfTheGraceTime(t *testing.T) {
+	w := newTold(t)
+	w.backend.Hung.Store(true)
+	stop, ended := w.run()
+	answered := make(chan error, 1)
+	go func() {
+		response, err := w.send("silent", "/call/x")
+		if err == nil {
+			defer response.Body.Close()
+			w.c.Check(response.StatusCode, qt.Equals, http.StatusBadGateway)
+			w.c.Check(response.Close, qt.IsTrue)
+		}
+		answered <- err
+	}()
+	w.eventuallyShows(`\nlagoonlane_gateway_running\{[^}]*\} 1\n`)
+	stop(&stopError{})
+	w.c.Assert(<-answered, qt.IsNil)
+	w.c.Assert(<-ended, qt.IsNil)
+}
+
+func TestStopAndCutRequestsAreTold(t *testing.T) {
+	w := newTold(t)
+	stop, ended := w.run()
 	w.open("left")()
 	w.eventuallyShows(`\nlagoonlane_gateway_answers_cut_total\{cause="caller-left",[^}]*started="true"\} 1\n`)
 	w.eventuallyShows(`\nlagoonlane_connections\{[^}]*state="active"\} 0\n`)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -216,7 +216,7 @@
 	case errors.As(err, &exhausted):
 		return nil, unavailable(KindOverloaded, staleRetryAfter, "this process is short of memory for the body: "+exhausted.Error())
 	case r.Context().Err() != nil:
-		return nil, cutOff(r.Context())
+		return nil, cutOff(r.Context(), false)
 	}
 	return nil, refusal(KindMalformed, http.StatusBadRequest, "the body could not be read: "+err.Error())
 }
--- a/internal/gateway/cut.go
+++ b/internal/gateway/cut.go
@@ -21,7 +21,7 @@
 const (
 	// CutCallerLeft: the caller closed its connection, or it can't be written to.
 	CutCallerLeft Cut = "caller-left"
-	// CutStopped: this process ended its grace time while the request ran.
+	// CutStopped: this process ended its grace time while the request ran, or may have run.
 	CutStopped Cut = "stopped"
 	// CutClosedIdle: this process closed the caller's connection as idle while the request
 	// was being read.
@@ -51,12 +51,14 @@
 	g.log(one, &progress{}, failure, took)
 }
 
-// cutOff returns the failure of a request whose connection to the caller is ended. Who
-// did that is the cause of ctx.
-func cutOff(ctx context.Context) *Failure {
+// cutOff returns the failure of a request that ends before its deadline. Who did that is
+// the cause of ctx. mayHaveRun says whether a backend server may have begun with it.
+func cutOff(ctx context.Context, mayHaveRun bool) *Failure {
 	var stopped *transport.StoppedError
 	var idle *transport.ClosedIdleError
 	switch cause := context.Cause(ctx); {
+	case errors.As(cause, &stopped) && !mayHaveRun:
+		return unavailable(KindStopped, staleRetryAfter, "this process ended its grace time before the request was sent")
 	case errors.As(cause, &stopped):
 		return &Failure{Kind: KindStopped, Status: http.StatusBadGateway, Detail: "this process ended its grace time", Cut: CutStopped}
 	case errors.As(cause, &idle):
--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -141,6 +141,24 @@
 	w.c.Assert(ids, qt.DeepEquals, []string{"cut-short"})
 }
 
+// A request that was sent and had no answer at the end of the grace time lost its connection.
+func TestSentRequestIsAnsweredAtTheEndOfTheGraceTime(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	w := newWorld(t, func(*http.Request, net.Conn) { begun <- struct{}{} })
+	go func() {
+		<-begun
+		w.end(&transport.StoppedError{})
+	}()
+	response, _, err := w.call("POST", "/unsafe/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+	w.c.Assert(response.Close, qt.IsTrue)
+	w.c.Assert(w.line("request")["cut_by"], qt.Equals, string(gateway.CutStopped))
+	w.requests.Settle(t.Context())
+	cut, _ := w.requests.Cut()
+	w.c.Assert(cut, qt.Equals, 1)
+}
+
 func TestCutByClosingAConnectionAsIdle(t *testing.T) {
 	w := newWorld(t, streaming(nil))
 	w.start("/stream/x")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,9 +212,9 @@
 	case p.started():
 		// The caller has part of an answer: only a broken connection says that it isn't whole.
 		panic(http.ErrAbortHandler)
-	case r.Context().Err() != nil && (failure.Kind == KindCallerLeft || failure.Kind == KindStopped):
+	case r.Context().Err() != nil && (failure.Kind == KindCallerLeft || failure.Cut == CutClosedIdle):
 		panic(http.ErrAbortHandler)
-	case failure.Kind == KindOverloaded:
+	case failure.Kind == KindOverloaded, failure.Kind == KindStopped, g.leaving.Load() != 0:
 		// The caller's next request had better go to another process.
 		w.Header().Set("Connection", "close")
 		g.write(w, one, failure)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -85,7 +85,12 @@
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(f.Status)
-	if _, err := w.Write(body); err != nil {
+	_, err = w.Write(body)
+	if err == nil {
+		// A process that ends closes its connections once no handler runs.
+		err = http.NewResponseController(w).Flush()
+	}
+	if err != nil {
 		g.lines.Info().Str("request_id", one.info.ID).Int("status", f.Status).Err(err).Msg("the caller left before its refusal")
 	}
 }
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -208,7 +208,12 @@
 
 // call sends a request and returns the whole answer; cut says that it broke off.
 func (w *engineWorld) call() (response *httptest.ResponseRecorder, cut bool) {
-	request := httptest.NewRequest("POST", "http://a/x", strings.NewReader("p"))
+	return w.callWithin(context.Background())
+}
+
+// callWithin is call with the context of the request's connection.
+func (w *engineWorld) callWithin(ctx context.Context) (response *httptest.ResponseRecorder, cut bool) {
+	request := httptest.NewRequestWithContext(ctx, "POST", "http://a/x", strings.NewReader("p"))
 	request.Header.Set("Id", fmt.Sprint("r", requestNumber.Add(1)))
 	response = httptest.NewRecorder()
 	defer func() {
@@ -332,3 +337,25 @@
 		})
 	}
 }
+
+// A request that waited for a slot at the end of the grace time lost its connection, though
+// it can be told that it has not run.
+func TestWaitingRequestIsRefusedAtTheEndOfTheGraceTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newEngineWorld(t, 2, pausing(1, 0))
+		release := []func(){w.engines[0].fill(w.c), w.engines[1].fill(w.c)}
+		ctx, end := context.WithCancelCause(t.Context())
+		time.AfterFunc(400*time.Millisecond, func() { end(&transport.StoppedError{}) })
+		response, cut := w.callWithin(ctx)
+		w.c.Assert(cut, qt.IsFalse)
+		w.c.Assert(response.Code, qt.Equals, http.StatusServiceUnavailable)
+		w.c.Assert(response.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
+		w.c.Assert(response.Header().Get("Connection"), qt.Equals, "close")
+		w.expectNoTickets(len(release))
+		for _, one := range release {
+			one()
+		}
+		w.expectNoTickets(0)
+		w.c.Assert(w.sends(), qt.Equals, int64(0))
+	})
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -152,7 +152,7 @@
 func (g *Gateway) final(ctx context.Context, one *call, p *progress, refused *Failure) *Failure {
 	switch {
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
-		return cutOff(ctx)
+		return cutOff(ctx, p.mayHaveRun)
 	case ctx.Err() != nil && p.mayHaveRun:
 		return &Failure{Kind: KindTimeout, Status: http.StatusGatewayTimeout, Detail: "no whole answer at the deadline", Cut: CutDeadline}
 	case ctx.Err() != nil:
