Measure the stop and the retry budget on the steady clock

A step of the time of day during a stop let the gateway take requests that couldn't end any more, or refuse those that could, and changed stop_in_ms: the end was kept as UnixNano and turned back into a time without monotonic part. The retry budget counted its window by UnixNano too: a step forward gave all repeats back, a step back kept the window from moving until the old time came again.

Both now use internal/steady. Looked at for the same cause: gateway, slots, roster, limit, lateness, admission, fleet, upstream, callerconn, transport, cmd and platform. The only other use of Unix time is the start of an engine (born), which is compared with other starts of that engine, and says which of two records is the newer one.

go test -run TimeOfDay ./internal/gateway: two tests that failed before. They run in a bubble, where the clock of package time goes on and the steady clock doesn't.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -24,7 +24,8 @@
 }
 
 // retryBudget counts the requests and repeats of each service at this entry, and
-// keeps to this entry's part of the bounds. It is safe for concurrent use.
+// keeps to this entry's part of the bounds. Times are those of the steady clock: the
+// window must not jump with the time of day. It is safe for concurrent use.
 type retryBudget struct {
 	bounds RetryBounds
 
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
 
 // All entries together keep to the deployment's bound on repeats in any window, also
@@ -35,6 +38,32 @@
 	c.Assert(budgets[0].take("service", entries, later), qt.IsTrue)
 }
 
+// A step of the time of day during a stop admitted what couldn't end any more, or refused
+// what could: the clock of a bubble goes on, that of the machine does not.
+func TestStopIsIndependentOfTheTimeOfDay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := &Gateway{}
+		g.Leave(10 * time.Second)
+		time.Sleep(time.Hour)
+		c.Assert(g.mayFinish(&call{}) == nil, qt.IsTrue)
+	})
+}
+
+// A step of the time of day gave the retry budget back too early, or kept it used up.
+func TestRetryBudgetIsIndependentOfTheTimeOfDay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		// The slack is for one repeat.
+		bounds := RetryBounds{Window: time.Minute, Slack: 1.1 / budgetPart}
+		g := &Gateway{retries: newRetryBudget(bounds), options: Options{Entries: func() int { return 1 }}}
+		one := &call{service: "service", deadline: steady.Now().Add(time.Hour)}
+		c.Assert(g.mayTryAgain(one, &progress{}, verdictRejected), qt.IsTrue)
+		time.Sleep(10 * bounds.Window)
+		c.Assert(g.mayTryAgain(one, &progress{}, verdictRejected), qt.IsFalse)
+	})
+}
+
 // An entry that stops takes what it can still finish and refuses the rest.
 func TestStoppingEntryRefusesLongCalls(t *testing.T) {
 	c := qt.New(t)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -77,8 +77,7 @@
 	}
 	p.sends++
 	if p.sends == 1 {
-		p.firstSent = time.Now()
-		g.retries.first(one.service, p.firstSent)
+		g.retries.first(one.service, steady.Now())
 	}
 	sent := time.Now()
 	ctx, stall := g.watchStall(ctx, one, p)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,9 +77,8 @@
 	servers *serverTable
 	retries *retryBudget
 	held    *membudget.Budget
-	// leaving is when every call must have ended (Unix nanoseconds of the wall clock);
-	// 0: the gateway isn't leaving.
-	leaving atomic.Int64
+	// leaving is when every call must have ended (steady clock); nil: the gateway isn't leaving.
+	leaving atomic.Pointer[time.Time]
 }
 
 // New returns a gateway.
@@ -111,7 +110,7 @@
 func (g *Gateway) NotReady() string {
 	manifest, confirmed := g.options.Manifest.Current()
 	switch {
-	case g.leaving.Load() != 0:
+	case g.leaving.Load() != nil:
 		return "stopping"
 	case manifest == nil:
 		return "no configuration yet"
@@ -127,19 +126,22 @@
 
 // Leave makes every answer from now on close its connection, and refuses requests
 // that are not likely to end within a time.
-func (g *Gateway) Leave(within time.Duration) { g.leaving.Store(time.Now().Add(within).UnixNano()) }
+func (g *Gateway) Leave(within time.Duration) {
+	end := steady.Now().Add(within)
+	g.leaving.Store(&end)
+}
 
 // mayFinish reports whether a call is likely to end before this process does.
 func (g *Gateway) mayFinish(one *call) *Failure {
 	end := g.leaving.Load()
-	if end == 0 {
+	if end == nil {
 		return nil
 	}
 	needed := shortCall
 	if one.engine != nil {
 		needed += time.Duration(one.outputTokens()) * cautiousTokenTime
 	}
-	if time.Until(time.Unix(0, end)) >= needed {
+	if steady.Until(*end) >= needed {
 		return nil
 	}
 	return unavailable(KindNotReady, staleRetryAfter, "this process is about to stop")
@@ -149,7 +151,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.options.Requests.begin()
 	defer g.options.Requests.end()
-	if g.leaving.Load() != 0 {
+	if g.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	one, failure := g.accept(w, r)
@@ -214,7 +216,7 @@
 		panic(http.ErrAbortHandler)
 	case r.Context().Err() != nil && (failure.Kind == KindCallerLeft || failure.Cut == CutClosedIdle):
 		panic(http.ErrAbortHandler)
-	case failure.Kind == KindOverloaded, failure.Kind == KindStopped, g.leaving.Load() != 0:
+	case failure.Kind == KindOverloaded, failure.Kind == KindStopped, g.leaving.Load() != nil:
 		// The caller's next request had better go to another process.
 		w.Header().Set("Connection", "close")
 		g.write(w, one, failure)
@@ -238,8 +240,8 @@
 			Dur("longest_pause_ms", p.longestPause)
 	}
 	event.Dur("waited_ms", p.waited)
-	if end := g.leaving.Load(); end != 0 {
-		event.Dur("stop_in_ms", time.Until(time.Unix(0, end)))
+	if end := g.leaving.Load(); end != nil {
+		event.Dur("stop_in_ms", steady.Until(*end))
 	}
 	if failure == nil {
 		event.Int("status", p.status).Str("outcome", "answered").Msg("request")
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -36,7 +36,6 @@
 	mayHaveRun         bool
 	// server is the backend server of the last send.
 	server     string
-	firstSent  time.Time
 	waited     time.Duration
 	firstEvent time.Duration
 	// longestPause is the longest time between two events.
@@ -139,12 +138,12 @@
 		return p.unsent < maxUnsent
 	case verdictReplaced:
 		p.unsent++
-		return p.unsent < maxUnsent && g.retries.take(one.service, g.options.Entries(), time.Now())
+		return p.unsent < maxUnsent && g.retries.take(one.service, g.options.Entries(), steady.Now())
 	case verdictRejected:
 		p.rejections++
-		return p.rejections <= maxRejections && g.retries.take(one.service, g.options.Entries(), time.Now())
+		return p.rejections <= maxRejections && g.retries.take(one.service, g.options.Entries(), steady.Now())
 	}
-	return one.route.Repeatable() && p.ran < one.route.MaxServers && g.retries.take(one.service, g.options.Entries(), time.Now())
+	return one.route.Repeatable() && p.ran < one.route.MaxServers && g.retries.take(one.service, g.options.Entries(), steady.Now())
 }
 
 // final returns the last word on a call that has no whole answer. Refused is why it
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -121,7 +121,7 @@
 		at.giveBack()
 		return
 	}
-	if failure == nil && !w.g.retries.take(w.one.service, w.g.options.Entries(), time.Now()) {
+	if failure == nil && !w.g.retries.take(w.one.service, w.g.options.Entries(), steady.Now()) {
 		at.giveBack()
 		failure = errNoRepeat
 	}
@@ -151,7 +151,7 @@
 // placeElsewhere waits for a slot at a backend server that wasn't tried.
 func (g *Gateway) placeElsewhere(ctx context.Context, one *call, tried map[string]bool) (*placement, *Failure) {
 	now := time.Now()
-	if !g.retries.left(one.service, g.options.Entries(), now) {
+	if !g.retries.left(one.service, g.options.Entries(), steady.Now()) {
 		return nil, errNoRepeat
 	}
 	list := g.servers.usable(g.options.Directory.Ready(one.service, now), tried, now)
