Take only what surely ends during a stop

An entry that stops estimated the length of an answer by the caller's hint, which is right at the median and often far off. Long answers that were taken late in a stop on a short hint were cut at the end of the grace time. A request that had been taken before the stop and got its slot late in it was sent without another look.

A request is now taken if its deadline lies before the end of the stop, or if its largest output fits by the cautious time of a token. The hint counts for the first 3 s only, in which the platform lets an answer be cut that still runs at the end. The rest gets 503 with Retry-After, also when a slot comes too late for it.

TestStoppingEntryRefusesLongCalls now gives its call a deadline: one without is taken, as it lies before the end of the stop; what the test asserts is unchanged, and it checks Retry-After besides. TestStoppingEntryTakesOnlyWhatSurelyEnds and TestRequestPlacedTooLateInAStopIsNotSent fail with the rule before.

--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
 
@@ -44,9 +45,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		g := &Gateway{}
+		one := &call{deadline: steady.Now().Add(time.Minute)}
 		g.Leave(10 * time.Second)
 		time.Sleep(time.Hour)
-		c.Assert(g.mayFinish(&call{}) == nil, qt.IsTrue)
+		c.Assert(g.mayFinish(one, 0) == nil, qt.IsTrue)
 	})
 }
 
@@ -68,10 +70,49 @@
 func TestStoppingEntryRefusesLongCalls(t *testing.T) {
 	c := qt.New(t)
 	g := &Gateway{}
-	one := &call{}
-	c.Assert(g.mayFinish(one) == nil, qt.IsTrue)
+	one := &call{deadline: steady.Now().Add(time.Minute)}
+	c.Assert(g.mayFinish(one, usualWait) == nil, qt.IsTrue)
 	g.Leave(10 * time.Second)
-	c.Assert(g.mayFinish(one) == nil, qt.IsTrue)
+	c.Assert(g.mayFinish(one, usualWait) == nil, qt.IsTrue)
 	g.Leave(time.Second)
-	c.Assert(g.mayFinish(one).Status, qt.Equals, 503)
+	refused := g.mayFinish(one, usualWait)
+	c.Assert(refused.Status, qt.Equals, 503)
+	c.Assert(refused.RetryAfter > 0, qt.IsTrue)
+}
+
+// An entry took long answers late in its stop on the caller's word that they were short,
+// and cut them at the end of its grace time.
+func TestStoppingEntryTakesOnlyWhatSurelyEnds(t *testing.T) {
+	const grace = 10 * time.Second
+	engine := &fleet.Engine{}
+	long := func(hint int) RequestInfo {
+		return RequestInfo{HasTokens: true, MaxOutputTokens: 2000, OutputHint: hint}
+	}
+	for name, test := range map[string]struct {
+		engine *fleet.Engine
+		info   RequestInfo
+		// since is the time since the stop began, deadline that from now to the call's.
+		since, deadline time.Duration
+		taken           bool
+	}{
+		"largest output fits":             {engine, RequestInfo{HasTokens: true, MaxOutputTokens: 200}, 5 * time.Second, time.Minute, true},
+		"largest output doesn't fit":      {engine, long(0), 5 * time.Second, time.Minute, false},
+		"short by a hint, may be cut":     {engine, long(50), time.Second, time.Minute, true},
+		"short by a hint, late":           {engine, long(50), cutAllowed + time.Millisecond, time.Minute, false},
+		"long by a hint":                  {engine, long(1800), time.Second, time.Minute, false},
+		"deadline before the end":         {engine, long(0), 8 * time.Second, time.Second, true},
+		"deadline after the end":          {engine, long(0), 8 * time.Second, 3 * time.Second, false},
+		"unknown output, late":            {engine, RequestInfo{}, 5 * time.Second, time.Minute, false},
+		"plain service":                   {nil, RequestInfo{}, 5 * time.Second, time.Minute, true},
+		"plain service, close to the end": {nil, RequestInfo{}, 9500 * time.Millisecond, time.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			g := &Gateway{}
+			now := steady.Now()
+			g.leaving.Store(&leave{began: now.Add(-test.since), end: now.Add(grace - test.since)})
+			one := &call{engine: test.engine, info: test.info, deadline: now.Add(test.deadline)}
+			c.Assert(g.mayFinish(one, usualWait) == nil, qt.Equals, test.taken)
+		})
+	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,15 +21,8 @@
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
 
-const (
-	// shortCall is what a call takes beside its output: the longest usual wait for a
-	// slot, the prefill of a long prompt, and twice the work of a plain service.
-	shortCall = 1500 * time.Millisecond
-	// cautiousTokenTime is the time for one output token at a slow engine.
-	cautiousTokenTime = 10 * time.Millisecond
-	// defaultHeldBytes is for processes that don't know how much memory they have.
-	defaultHeldBytes = 256 << 20
-)
+// defaultHeldBytes is for processes that don't know how much memory they have.
+const defaultHeldBytes = 256 << 20
 
 // Bounds are the limits that the deployment sets.
 type Bounds struct {
@@ -77,8 +70,8 @@
 	servers *serverTable
 	retries *retryBudget
 	held    *membudget.Budget
-	// leaving is when every call must have ended (steady clock); nil: the gateway isn't leaving.
-	leaving atomic.Pointer[time.Time]
+	// leaving is the stop that has begun, or nil.
+	leaving atomic.Pointer[leave]
 }
 
 // New returns a gateway.
@@ -124,29 +117,6 @@
 	return ""
 }
 
-// Leave makes every answer from now on close its connection, and refuses requests
-// that are not likely to end within a time.
-func (g *Gateway) Leave(within time.Duration) {
-	end := steady.Now().Add(within)
-	g.leaving.Store(&end)
-}
-
-// mayFinish reports whether a call is likely to end before this process does.
-func (g *Gateway) mayFinish(one *call) *Failure {
-	end := g.leaving.Load()
-	if end == nil {
-		return nil
-	}
-	needed := shortCall
-	if one.engine != nil {
-		needed += time.Duration(one.outputTokens()) * cautiousTokenTime
-	}
-	if steady.Until(*end) >= needed {
-		return nil
-	}
-	return unavailable(KindNotReady, staleRetryAfter, "this process is about to stop")
-}
-
 // ServeHTTP answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.options.Requests.begin()
@@ -158,7 +128,7 @@
 	defer one.hold.Release()
 	defer g.crashed(one)
 	if failure == nil {
-		failure = g.mayFinish(one)
+		failure = g.mayFinish(one, usualWait)
 	}
 	if failure == nil {
 		failure = g.admit(one)
@@ -240,8 +210,8 @@
 			Dur("longest_pause_ms", p.longestPause)
 	}
 	event.Dur("waited_ms", p.waited)
-	if end := g.leaving.Load(); end != nil {
-		event.Dur("stop_in_ms", steady.Until(*end))
+	if stop := g.leaving.Load(); stop != nil {
+		event.Dur("stop_in_ms", steady.Until(stop.end))
 	}
 	if failure == nil {
 		event.Int("status", p.status).Str("outcome", "answered").Msg("request")
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -359,3 +359,22 @@
 		w.c.Assert(w.sends(), qt.Equals, int64(0))
 	})
 }
+
+// A request that was taken before a stop and got its slot late in it was sent all the same,
+// and its answer cut at the end of the grace time.
+func TestRequestPlacedTooLateInAStopIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newEngineWorld(t, 1, pausing(1, 0))
+		free := w.engines[0].fill(w.c)
+		time.AfterFunc(300*time.Millisecond, func() {
+			// Its slot comes now, and less than its prefill is left of the grace time.
+			w.gateway.Leave(100 * time.Millisecond)
+			free()
+		})
+		response, cut := w.call()
+		w.c.Assert(cut, qt.IsFalse)
+		w.c.Assert(response.Code, qt.Equals, http.StatusServiceUnavailable)
+		w.c.Assert(w.sends(), qt.Equals, int64(0))
+		w.expectNoTickets(0)
+	})
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -109,6 +109,12 @@
 			place.release(admission.Outcome{})
 			return g.final(ctx, one, p, unavailable(KindOverloaded, staleRetryAfter, "placed after the caller's patience was over"))
 		}
+		if p.ran == 0 {
+			if failure := g.mayFinish(one, 0); failure != nil {
+				place.giveBack()
+				return g.final(ctx, one, p, failure)
+			}
+		}
 		outcome, err := g.send(ctx, one, p, place)
 		g.metrics.sent(one, outcome)
 		if outcome == verdictAnswered {
