Bound the reading of a caller's body

A caller that sent its body slowly, or never to its end, held its request past the route's timeout without an answer, since the deadline was looked at only once the body was there; during a stop it held the process to the end of the grace time, and its connection was closed without an answer then.

The body is now read until the request's deadline, and answered 408 then: nothing has run and never will. (400 would tell the caller not to come back.) A stop ends the reading when too little time is left to take the request, with 503 and Retry-After; a body that begins later is read at most until the end of the stop. Once the body is whole the connection is read without bound again.

go test -run 'SlowBody|Bound' ./internal/gateway: TestSlowBodyIsAnsweredAtTheDeadline and TestSlowBodyDoesNotHoldAStop got no answer within 5 s before; the other two guard what the bound must not touch, and passed before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
@@ -131,8 +128,8 @@
 	if patience := one.info.Patience; one.info.HasPatience && patience < one.route.Timeout {
 		one.deadline = one.arrived.Add(patience)
 	}
-	body, failure := readBody(w, r, manifest.Limits.MaxBodyBytes, one.hold)
-	one.body = body
+	var failure *Failure
+	one.body, failure = g.readBody(w, r, one)
 	return one, failure
 }
 
@@ -192,35 +189,6 @@
 	return n
 }
 
-// readBody reads a whole body of at most limit bytes; 0 is unlimited.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, hold *membudget.Hold) ([]byte, *Failure) {
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil, nil
-	}
-	tooLarge := refusal(KindTooLarge, http.StatusRequestEntityTooLarge, "the body is too large")
-	if limit > 0 && r.ContentLength > limit {
-		return nil, tooLarge
-	}
-	var reader io.Reader = r.Body
-	if limit > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limit)
-	}
-	body, err := hold.ReadAll(reader, r.ContentLength, 0)
-	var over *http.MaxBytesError
-	var exhausted *membudget.ExhaustedError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &over):
-		return nil, tooLarge
-	case errors.As(err, &exhausted):
-		return nil, unavailable(KindOverloaded, staleRetryAfter, "this process is short of memory for the body: "+exhausted.Error())
-	case r.Context().Err() != nil:
-		return nil, cutOff(r.Context(), false)
-	}
-	return nil, refusal(KindMalformed, http.StatusBadRequest, "the body could not be read: "+err.Error())
-}
-
 // context returns the context of a call: it ends when the caller leaves or at the deadline.
 func (c *call) context(parent context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeoutCause(parent, steady.Until(c.deadline), errDeadline)
--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -225,6 +225,86 @@
 	w.c.Assert(line["cut_by"], qt.IsNil)
 }
 
+// slowBody sends a request whose body never comes whole, and returns its answer.
+func (w *world) slowBody(path string) (*http.Response, error) {
+	conn, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	w.c.Assert(err, qt.IsNil)
+	w.c.Cleanup(func() { conn.Close() })
+	w.c.Assert(conn.SetDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: 127.0.0.1\r\nId: slow\r\nKey: key\r\nContent-Length: 10\r\n\r\n123", path)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		w.c.Cleanup(func() { response.Body.Close() })
+	}
+	return response, err
+}
+
+// A body that came slowly held its request past the route's timeout, without an answer.
+func TestSlowBodyIsAnsweredAtTheDeadline(t *testing.T) {
+	w := newWorld(t, whole(200, "x"))
+	began := time.Now()
+	response, err := w.slowBody("/short/x")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusRequestTimeout)
+	w.c.Assert(response.Close, qt.IsTrue)
+	took := time.Since(began)
+	w.c.Assert(took > 100*time.Millisecond && took < time.Second, qt.IsTrue, qt.Commentf("%v", took))
+}
+
+// A body that came slowly held a stop to its end, and its connection was closed then.
+func TestSlowBodyDoesNotHoldAStop(t *testing.T) {
+	for name, leaveFirst := range map[string]bool{"before the stop": false, "during the stop": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, whole(200, "x"))
+			leave := func() { w.gateway.Leave(1700 * time.Millisecond) }
+			if leaveFirst {
+				leave()
+			} else {
+				time.AfterFunc(100*time.Millisecond, leave)
+			}
+			response, err := w.slowBody("/safe/x")
+			w.c.Assert(err, qt.IsNil)
+			w.c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			w.c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			w.c.Assert(response.Close, qt.IsTrue)
+			w.requests.Settle(t.Context())
+		})
+	}
+}
+
+// The bound on a body must not end the wait for the next request of its connection.
+func TestConnectionOutlivesTheBoundOnABody(t *testing.T) {
+	w := newWorld(t, whole(200, "x"))
+	conn, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	w.c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	w.c.Assert(conn.SetDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		fmt.Fprint(conn, "POST /short/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r\r\nKey: key\r\nContent-Length: 1\r\n\r\nx")
+		response, err := http.ReadResponse(reader, nil)
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+		_, err = io.Copy(io.Discard, response.Body)
+		w.c.Assert(err, qt.IsNil)
+		// Longer than the route's timeout.
+		time.Sleep(400 * time.Millisecond)
+	}
+}
+
+// Nor must it end the wait for the answer.
+func TestBoundOnABodyEndsWithIt(t *testing.T) {
+	w := newWorld(t, func(request *http.Request, conn net.Conn) {
+		time.Sleep(700 * time.Millisecond)
+		whole(200, "x")(request, conn)
+	})
+	w.gateway.Leave(2 * time.Second)
+	response, body, err := w.call("POST", "/safe/x", "payload")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	w.c.Assert(body, qt.Equals, "x")
+}
+
 func TestCutByTheBackendServer(t *testing.T) {
 	w := newWorld(t, func(request *http.Request, conn net.Conn) { events(request, conn, 1, 2, true) })
 	_, _, err := w.call("POST", "/stream/x", "p")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,7 @@
 	held    *membudget.Budget
 	// leaving is the stop that has begun, or nil.
 	leaving atomic.Pointer[leave]
+	bodies  bodyBounds
 }
 
 // New returns a gateway.
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -31,6 +31,7 @@
 func (g *Gateway) Leave(within time.Duration) {
 	now := steady.Now()
 	g.leaving.Store(&leave{began: now, end: now.Add(within)})
+	time.AfterFunc(within-usualWait-shortWork, g.bodies.stop)
 }
 
 // mayFinish refuses a call that may outlive this process. Wait is the time until it
