Let an answer arrive though more was sent behind its request

A connection with unread bytes is now half-closed and read for at most 0.5 s or 1 MiB, until the caller closes too. It holds a stop no longer than that, and not at all once the server is closed; where net/http has half-closed and waits by itself, nothing is added.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -17,7 +17,8 @@
 //   - A connection whose answer began without "Connection: close" ends, by the same
 //     rules, as soon as that answer is whole.
 //   - Of two requests that were sent without waiting for the first answer, the second may
-//     be dropped, as the first answer says that the connection closes.
+//     be dropped, as the first answer says that the connection closes. The first answer
+//     arrives all the same: bytes behind it are read for a moment.
 //
 // The same look is taken before a connection is closed for having been idle too long.
 // It knows nothing of what requests mean.
@@ -52,6 +53,13 @@
 	// startBound bounds the arrival of a request's first bytes where the server's own
 	// bound is over already.
 	startBound = 10 * time.Second
+	// lingerBound and lingerBytes bound the reading of what comes behind the last request
+	// of a connection, so that its answer arrives. The time is that of net/http for the
+	// same purpose; the bytes are some requests.
+	lingerBound = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+	// lingerWait is the time between two looks for more of it.
+	lingerWait = 5 * time.Millisecond
 )
 
 // UnfinishedError says that connections were still open at the end of a stop.
@@ -72,6 +80,8 @@
 type Server struct {
 	http     *http.Server
 	draining atomic.Bool
+	// closing says that connections are closed at once.
+	closing atomic.Bool
 	// accepting counts the accept loops.
 	accepting sync.WaitGroup
 
@@ -118,7 +128,10 @@
 }
 
 // Close closes listeners and connections at once.
-func (s *Server) Close() error { return pkgerrors.WithStack(s.http.Close()) }
+func (s *Server) Close() error {
+	s.closing.Store(true)
+	return pkgerrors.WithStack(s.http.Close())
+}
 
 // Shutdown stops accepting and ends each connection as soon as it carries no request. It
 // fails with *UnfinishedError when ctx is done before; Close then ends the rest.
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lagoonlane/lagoonlane/internal/netpeek"
@@ -19,6 +20,8 @@
 	net.Conn
 	server *Server
 	closed sync.Once
+	// halfClosed says that net/http has told the caller of the end, and waits by itself.
+	halfClosed atomic.Bool
 
 	mu sync.Mutex
 	// idle is true while nothing was read since the last request; fresh, until the
@@ -122,14 +125,45 @@
 
 // CloseWrite lets net/http send what is left before it closes the connection.
 func (c *conn) CloseWrite() error {
+	c.halfClosed.Store(true)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return nil
 }
 
-// Close closes the connection.
+// Close closes the connection, after a moment for a caller that has sent more to read its
+// answer.
 func (c *conn) Close() error {
+	c.linger()
 	c.closed.Do(func() { c.server.forget(c) })
 	return c.Conn.Close()
 }
+
+// linger reads what a caller has sent beyond its last request until the caller closes
+// too: the kernel resets a connection that is closed with unread bytes, and what the
+// caller has not read of its answer is lost with it.
+func (c *conn) linger() {
+	if c.server.closing.Load() || c.halfClosed.Load() || netpeek.Look(c.Conn) != netpeek.Waiting {
+		return
+	}
+	if c.CloseWrite() != nil {
+		return
+	}
+	var waste [4 << 10]byte
+	left := lingerBytes
+	for end := time.Now().Add(lingerBound); left > 0 && time.Now().Before(end) && !c.server.closing.Load(); {
+		switch netpeek.Look(c.Conn) {
+		case netpeek.Waiting:
+			n, err := c.Conn.Read(waste[:])
+			if err != nil {
+				return
+			}
+			left -= n
+		case netpeek.Quiet:
+			time.Sleep(lingerWait)
+		default:
+			return
+		}
+	}
+}
