Say in each answer during a stop that its connection closes

An answer whose request had come before the stop began without Connection: close: the header was set when the request came. Its caller was free to send its next request on the connection, which then crossed the close. The header is now set when the answer begins.

go test -run AnswerDuringAStop ./internal/gateway failed before.

--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -305,6 +305,19 @@
 	w.c.Assert(body, qt.Equals, "x")
 }
 
+// An answer whose request came before the stop said nothing of the end of its connection.
+func TestAnswerDuringAStopClosesItsConnection(t *testing.T) {
+	var w *world
+	w = newWorld(t, func(request *http.Request, conn net.Conn) {
+		w.gateway.Leave(5 * time.Second)
+		whole(200, "x")(request, conn)
+	})
+	response, _, err := w.call("POST", "/unsafe/x", "p")
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	w.c.Assert(response.Close, qt.IsTrue)
+}
+
 func TestCutByTheBackendServer(t *testing.T) {
 	w := newWorld(t, func(request *http.Request, conn net.Conn) { events(request, conn, 1, 2, true) })
 	_, _, err := w.call("POST", "/stream/x", "p")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,7 @@
 	}
 	ctx, cancel := one.context(r.Context())
 	defer cancel()
-	p := &progress{relay: newRelay(w, g.options.Codec)}
+	p := &progress{relay: newRelay(w, g.options.Codec, func() bool { return g.leaving.Load() != nil })}
 	failure = g.run(ctx, one, p)
 	g.settle(one, p)
 	g.conclude(w, r, one, p, failure)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,6 +33,8 @@
 type relay struct {
 	w     http.ResponseWriter
 	codec Codec
+	// leaving reports whether the connection is to close behind the answer.
+	leaving func() bool
 	// started is true once the caller has part of an answer.
 	started bool
 	status  int
@@ -43,8 +45,21 @@
 	events, unnumbered int
 }
 
-func newRelay(w http.ResponseWriter, codec Codec) *relay {
-	return &relay{w: w, codec: codec}
+func newRelay(w http.ResponseWriter, codec Codec, leaving func() bool) *relay {
+	return &relay{w: w, codec: codec, leaving: leaving}
+}
+
+// head sets and returns the headers of an answer, which begins now.
+func (r *relay) head(header http.Header) http.Header {
+	r.started = true
+	h := r.w.Header()
+	for name, values := range r.codec.EncodeAnswer(header) {
+		h[name] = values
+	}
+	if r.leaving() {
+		h.Set("Connection", "close")
+	}
+	return h
 }
 
 // resumeFrom returns the last event that the caller has; empty: none.
@@ -52,11 +67,7 @@
 
 // whole sends an answer that is held whole.
 func (r *relay) whole(held *reply) error {
-	r.started = true
-	h := r.w.Header()
-	for name, values := range r.codec.EncodeAnswer(held.header) {
-		h[name] = values
-	}
+	h := r.head(held.header)
 	h.Set("Content-Length", strconv.Itoa(len(held.body)))
 	r.w.WriteHeader(held.status)
 	if _, err := r.w.Write(held.body); err != nil {
@@ -77,11 +88,7 @@
 	if r.started {
 		return
 	}
-	r.started = true
-	h := r.w.Header()
-	for name, values := range r.codec.EncodeAnswer(r.header) {
-		h[name] = values
-	}
+	r.head(r.header)
 	r.w.WriteHeader(r.status)
 }
 
