Accept callers while early requests keep a stopping entry

Where the entries of a zone are stopped in quick succession, each stopped listening 2.5 s after SIGTERM but lived up to 7.5 s for a few long streams. With under half of a zone's entries ready the balancer sends callers to all of them, and for seconds nobody listened: callers got no connection.

An entry now keeps its listener and its connections as long as requests of the first 2.5 s of its stop run, until 1 s before its end at most, and answers or refuses what comes, each answer with Connection: close. Requests that come later don't prolong that. Then it closes as before.

--- a/cmd/lagoonlane/lifecyclelog_test.go
+++ b/cmd/lagoonlane/lifecyclelog_test.go
@@ -51,7 +51,10 @@
 	return listener.Addr().String()
 }
 
-func newTold(t *testing.T) *told {
+// newTold has the shortest grace time in which a stop shows all its steps.
+func newTold(t *testing.T) *told { return newToldWithGrace(t, 3500*time.Millisecond) }
+
+func newToldWithGrace(t *testing.T, grace time.Duration) *told {
 	c := qt.New(t)
 	dir := c.TempDir()
 	w := &told{c: c, front: freeAddress(c), ready: freeAddress(c), metrics: freeAddress(c), file: filepath.Join(dir, "settings.toml"), out: filepath.Join(dir, "log")}
@@ -86,8 +89,7 @@
 	machine := standin.Machine{
 		Name: "edge", IP: "127.0.0.1", Front: w.front, Ready: w.ready, Store: storing.Listener.Addr().String(), InternalPort: internal,
 	}
-	// The shortest grace time in which a stop shows all its steps.
-	settings := strings.Replace(machine.Settings(), "grace_s = 8\n", "grace_s = 3.5\n", 1)
+	settings := strings.Replace(machine.Settings(), "grace_s = 8\n", fmt.Sprintf("grace_s = %g\n", grace.Seconds()), 1)
 	c.Assert(os.WriteFile(w.file, []byte(settings), 0o600), qt.IsNil)
 	t.Setenv(standin.SettingsVariable, w.file)
 	out, err := os.Create(w.out)
--- a/cmd/lagoonlane/onplatform.go
+++ b/cmd/lagoonlane/onplatform.go
@@ -45,9 +45,12 @@
 	serversPausePart = 0.4
 	// membersWait is the same for the list of entries, which tell each other of changes.
 	membersWait = 20 * time.Second
-	// leaveAfter is how long an entry that was told to stop still takes new connections:
+	// leaveAfter is how long an entry that was told to stop takes new connections at least:
 	// the balancer needs two looks, a second apart, to find that it isn't ready.
 	leaveAfter = 2500 * time.Millisecond
+	// closeBefore is the time before the end of a stop in which no connection is accepted:
+	// one that waits for its first request ends within half of it.
+	closeBefore = time.Second
 	// exitMargin is left between the end of the last request and the kill.
 	exitMargin = 500 * time.Millisecond
 	// registerRetry is the time between two tries to register this entry.
@@ -341,12 +344,19 @@
 }
 
 // leave takes the entry out of the balancer, then ends connections as their requests end.
+// While the requests of its first part keep the process, it goes on to accept: where most
+// entries of a zone stop at once, the balancer sends callers to all of them.
 func (e *entryNode) leave(bounded context.Context) {
-	e.gateway.Leave(e.settings.Bounds.ShutdownGrace - exitMargin)
+	within := e.settings.Bounds.ShutdownGrace - exitMargin
+	e.gateway.Leave(within)
+	accepting, cancel := context.WithTimeout(bounded, max(within-closeBefore, 0))
+	defer cancel()
 	select {
 	case <-time.After(leaveAfter):
 	case <-bounded.Done():
 	}
+	e.requests.Split()
+	e.requests.SettleEarly(accepting)
 	e.closingIdle()
 	if err := e.public.Shutdown(bounded); err != nil {
 		e.logger.Warn().Err(err).Int64("running", e.requests.Running()).Msg("requests were still running at the end of the grace time")
--- a/internal/gateway/cut.go
+++ b/internal/gateway/cut.go
@@ -118,6 +118,9 @@
 // value is ready to use. It is safe for concurrent use.
 type Requests struct {
 	running atomic.Int64
+	// early counts those that run and began before Split, if that was called.
+	early atomic.Int64
+	split atomic.Bool
 
 	mu sync.Mutex
 	// cut counts the requests that this process ended itself, named holds the ids of the
@@ -126,9 +129,22 @@
 	named []string
 }
 
-func (r *Requests) begin() { r.running.Add(1) }
+// begin counts a request in. What it returns counts it out.
+func (r *Requests) begin() (end func()) {
+	r.running.Add(1)
+	r.early.Add(1)
+	if r.split.Load() {
+		r.early.Add(-1)
+		return func() { r.running.Add(-1) }
+	}
+	return func() {
+		r.early.Add(-1)
+		r.running.Add(-1)
+	}
+}
 
-func (r *Requests) end() { r.running.Add(-1) }
+// Split sets the requests that run apart from those that begin later.
+func (r *Requests) Split() { r.split.Store(true) }
 
 // Running returns the number of requests that wait or run.
 func (r *Requests) Running() int64 { return r.running.Load() }
@@ -155,10 +171,15 @@
 
 // Settle waits until no request runs, so that each has its line, and at most until ctx
 // is done.
-func (r *Requests) Settle(ctx context.Context) {
+func (r *Requests) Settle(ctx context.Context) { settle(ctx, &r.running) }
+
+// SettleEarly is Settle for the requests that began before Split.
+func (r *Requests) SettleEarly(ctx context.Context) { settle(ctx, &r.early) }
+
+func settle(ctx context.Context, running *atomic.Int64) {
 	ticker := time.NewTicker(settleInterval)
 	defer ticker.Stop()
-	for r.Running() > 0 {
+	for running.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,8 +120,7 @@
 
 // ServeHTTP answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.options.Requests.begin()
-	defer g.options.Requests.end()
+	defer g.options.Requests.begin()()
 	if g.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
