--- a/internal/gateway/cut.go
+++ b/internal/gateway/cut.go
@@ -21,7 +21,7 @@
 const (
 	// CutCallerLeft: the caller closed its connection, or it can't be written to.
 	CutCallerLeft Cut = "caller-left"
-	// CutStopped: this process ended its grace time while the request ran.
+	// CutStopped: this process ended its grace time while the request ran, or may have run.
 	CutStopped Cut = "stopped"
 	// CutClosedIdle: this process closed the caller's connection as idle while the request
 	// was being read.
@@ -53,12 +53,14 @@
 	g.log(one, &progress{}, failure, took)
 }
 
-// cutOff returns the failure of a request whose connection to the caller is ended. Who
-// did that is the cause of ctx.
-func cutOff(ctx context.Context) *Failure {
+// cutOff returns the failure of a request that ends before its deadline. Who did that is
+// the cause of ctx. mayHaveRun says whether a backend server may have begun with it.
+func cutOff(ctx context.Context, mayHaveRun bool) *Failure {
 	var stopped *transport.StoppedError
 	var idle *transport.ClosedIdleError
 	switch cause := context.Cause(ctx); {
+	case errors.As(cause, &stopped) && !mayHaveRun:
+		return unavailable(KindStopped, staleRetryAfter, "this process ended its grace time before the request was sent")
 	case errors.As(cause, &stopped):
 		return &Failure{Kind: KindStopped, Status: http.StatusBadGateway, Detail: "this process ended its grace time", Cut: CutStopped}
 	case errors.As(cause, &idle):
@@ -122,6 +124,9 @@
 // value is ready to use. It is safe for concurrent use.
 type Requests struct {
 	running atomic.Int64
+	// early counts those that run and began before Split, if that was called.
+	early atomic.Int64
+	split atomic.Bool
 
 	mu sync.Mutex
 	// cut counts the requests that this process ended itself, named holds the ids of the
@@ -130,9 +135,22 @@
 	named []string
 }
 
-func (r *Requests) begin() { r.running.Add(1) }
+// begin counts a request in. What it returns counts it out.
+func (r *Requests) begin() (end func()) {
+	r.running.Add(1)
+	r.early.Add(1)
+	if r.split.Load() {
+		r.early.Add(-1)
+		return func() { r.running.Add(-1) }
+	}
+	return func() {
+		r.early.Add(-1)
+		r.running.Add(-1)
+	}
+}
 
-func (r *Requests) end() { r.running.Add(-1) }
+// Split sets the requests that run apart from those that begin later.
+func (r *Requests) Split() { r.split.Store(true) }
 
 // Running returns the number of requests that wait or run.
 func (r *Requests) Running() int64 { return r.running.Load() }
@@ -159,10 +177,15 @@
 
 // Settle waits until no request runs, so that each has its line, and at most until ctx
 // is done.
-func (r *Requests) Settle(ctx context.Context) {
+func (r *Requests) Settle(ctx context.Context) { settle(ctx, &r.running) }
+
+// SettleEarly is Settle for the requests that began before Split.
+func (r *Requests) SettleEarly(ctx context.Context) { settle(ctx, &r.early) }
+
+func settle(ctx context.Context, running *atomic.Int64) {
 	ticker := time.NewTicker(settleInterval)
 	defer ticker.Stop()
-	for r.Running() > 0 {
+	for running.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,13 +21,6 @@
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
 
-const (
-	// shortCall is what a call takes beside its output: the longest usual wait for a
-	// slot, the prefill of a long prompt, and twice the work of a plain service.
-	shortCall = 1500 * time.Millisecond
-	// cautiousTokenTime is the time for one output token at a slow engine.
-	cautiousTokenTime = 10 * time.Millisecond
-)
 
 // Bounds are the limits that the deployment sets.
 type Bounds struct {
@@ -78,9 +71,9 @@
 	servers *serverTable
 	retries *retryBudget
 	held    *membudget.Budget
-	// leaving is when every call must have ended (Unix nanoseconds of the wall clock);
-	// 0: the gateway isn't leaving.
-	leaving atomic.Int64
+	// leaving is the stop that has begun, or nil.
+	leaving atomic.Pointer[leave]
+	bodies  bodyBounds
 }
 
 // New returns a gateway.
@@ -112,7 +105,7 @@
 func (g *Gateway) NotReady() string {
 	manifest, confirmed := g.options.Manifest.Current()
 	switch {
-	case g.leaving.Load() != 0:
+	case g.leaving.Load() != nil:
 		return "stopping"
 	case manifest == nil:
 		return "no configuration yet"
@@ -126,38 +119,17 @@
 	return ""
 }
 
-// Leave makes every answer from now on close its connection, and refuses requests
-// that are not likely to end within a time.
-func (g *Gateway) Leave(within time.Duration) { g.leaving.Store(time.Now().Add(within).UnixNano()) }
-
-// mayFinish reports whether a call is likely to end before this process does.
-func (g *Gateway) mayFinish(one *call) *Failure {
-	end := g.leaving.Load()
-	if end == 0 {
-		return nil
-	}
-	needed := shortCall
-	if one.engine != nil {
-		needed += time.Duration(one.outputTokens()) * cautiousTokenTime
-	}
-	if time.Until(time.Unix(0, end)) >= needed {
-		return nil
-	}
-	return unavailable(KindNotReady, staleRetryAfter, "this process is about to stop")
-}
-
 // ServeHTTP answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.options.Requests.begin()
-	defer g.options.Requests.end()
-	if g.leaving.Load() != 0 {
+	defer g.options.Requests.begin()()
+	if g.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	one, failure := g.accept(w, r)
 	defer one.hold.Release()
 	defer g.crashed(one)
 	if failure == nil {
-		failure = g.mayFinish(one)
+		failure = g.mayFinish(one, usualWait)
 	}
 	if failure == nil {
 		failure = g.admit(one)
@@ -168,7 +140,7 @@
 	}
 	ctx, cancel := one.context(r.Context())
 	defer cancel()
-	p := &progress{relay: newRelay(w, g.options.Codec)}
+	p := &progress{relay: newRelay(w, g.options.Codec, func() bool { return g.leaving.Load() != nil })}
 	failure = g.run(ctx, one, p)
 	g.settle(one, p)
 	g.conclude(w, r, one, p, failure)
@@ -213,9 +185,9 @@
 	case p.started():
 		// The caller has part of an answer: only a broken connection says that it isn't whole.
 		panic(http.ErrAbortHandler)
-	case r.Context().Err() != nil && (failure.Kind == KindCallerLeft || failure.Kind == KindStopped):
+	case r.Context().Err() != nil && (failure.Kind == KindCallerLeft || failure.Cut == CutClosedIdle):
 		panic(http.ErrAbortHandler)
-	case failure.Kind == KindOverloaded:
+	case failure.Kind == KindOverloaded, failure.Kind == KindStopped, g.leaving.Load() != nil:
 		// The caller's next request had better go to another process.
 		w.Header().Set("Connection", "close")
 		g.write(w, one, failure)
@@ -239,8 +211,8 @@
 			Dur("longest_pause_ms", p.longestPause)
 	}
 	event.Dur("waited_ms", p.waited)
-	if end := g.leaving.Load(); end != 0 {
-		event.Dur("stop_in_ms", time.Until(time.Unix(0, end)))
+	if stop := g.leaving.Load(); stop != nil {
+		event.Dur("stop_in_ms", steady.Until(stop.end))
 	}
 	if failure == nil {
 		event.Int("status", p.status).Str("outcome", "answered").Msg("request")
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -39,7 +39,6 @@
 	mayHaveRun         bool
 	// server is the backend server of the last send.
 	server     string
-	firstSent  time.Time
 	waited     time.Duration
 	firstEvent time.Duration
 	// longestPause is the longest time between two events.
@@ -113,6 +112,12 @@
 			place.release(admission.Outcome{})
 			return g.final(ctx, one, p, unavailable(KindOverloaded, staleRetryAfter, "placed after the caller's patience was over"))
 		}
+		if p.ran == 0 {
+			if failure := g.mayFinish(one, 0); failure != nil {
+				place.giveBack()
+				return g.final(ctx, one, p, failure)
+			}
+		}
 		outcome, err := g.send(ctx, one, p, place)
 		g.metrics.sent(one, outcome)
 		if outcome == verdictAnswered {
@@ -142,12 +147,12 @@
 		return p.unsent < maxUnsent
 	case verdictReplaced:
 		p.unsent++
-		return p.unsent < maxUnsent && g.retries.take(one.service, g.options.Entries(), time.Now())
+		return p.unsent < maxUnsent && g.retries.take(one.service, g.options.Entries(), steady.Now())
 	case verdictRejected:
 		p.rejections++
-		return p.rejections <= maxRejections && g.retries.take(one.service, g.options.Entries(), time.Now())
+		return p.rejections <= maxRejections && g.retries.take(one.service, g.options.Entries(), steady.Now())
 	}
-	return one.route.Repeatable() && p.ran < one.route.MaxServers && g.retries.take(one.service, g.options.Entries(), time.Now())
+	return one.route.Repeatable() && p.ran < one.route.MaxServers && g.retries.take(one.service, g.options.Entries(), steady.Now())
 }
 
 // final returns the last word on a call that has no whole answer. Refused is why it
@@ -155,7 +160,7 @@
 func (g *Gateway) final(ctx context.Context, one *call, p *progress, refused *Failure) *Failure {
 	switch {
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
-		return cutOff(ctx)
+		return cutOff(ctx, p.mayHaveRun)
 	case ctx.Err() != nil && p.mayHaveRun:
 		return &Failure{Kind: KindTimeout, Status: http.StatusGatewayTimeout, Detail: "no whole answer at the deadline", Cut: CutDeadline}
 	case ctx.Err() != nil:
--- a/internal/telemetry/writer.go
+++ b/internal/telemetry/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,23 +33,57 @@
 	return logger, out, err
 }
 
+// lossyWriter counts the lines on their way through a diode.
+type lossyWriter struct {
+	diode   diode.Writer
+	dropped func(lines int)
+	// taken counts the lines that were written to it, passed those that the output took
+	// and those that were dropped.
+	taken, passed atomic.Int64
+}
+
 // NewLossyWriter returns a writer that never blocks. Lines that w is too slow for are
-// dropped and counted by dropped. Closing it leaves w open.
+// dropped and counted by dropped. Closing it waits a moment for the last lines and
+// leaves w open.
 func NewLossyWriter(w io.Writer, dropped func(lines int)) io.WriteCloser {
-	return &lossyWriter{diode.NewWriter(struct{ io.Writer }{w}, logBuffer, 0, dropped)}
+	l := &lossyWriter{dropped: dropped}
+	l.diode = diode.NewWriter(&countingWriter{output: w, lines: &l.passed}, logBuffer, 0, func(lines int) {
+		l.passed.Add(int64(lines))
+		dropped(lines)
+	})
+	return l
 }
 
-type lossyWriter struct{ diode.Writer }
+// Write implements io.Writer.
+func (l *lossyWriter) Write(p []byte) (int, error) {
+	l.taken.Add(1)
+	return l.diode.Write(p)
+}
 
-// Close writes the lines that are left, as far as the output takes them in time.
-func (w *lossyWriter) Close() error {
+// Close writes the lines that are left. Those that the output doesn't take in time are
+// counted as dropped, and are no error: there is nowhere left to tell of it.
+func (l *lossyWriter) Close() error {
 	closed := make(chan error, 1)
-	go func() { closed <- w.Writer.Close() }()
+	go func() { closed <- l.diode.Close() }()
+	timer := time.NewTimer(lastLinesWithin)
+	defer timer.Stop()
 	select {
 	case err := <-closed:
 		return err
-	case <-time.After(lastLinesWithin):
-		// The output has stalled: there is nowhere left to tell of it.
+	case <-timer.C:
+		l.dropped(int(l.taken.Load() - l.passed.Load()))
 		return nil
 	}
 }
+
+// countingWriter counts the writes that have ended. It has no Close, which would close
+// the output with the diode.
+type countingWriter struct {
+	output io.Writer
+	lines  *atomic.Int64
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	defer w.lines.Add(1)
+	return w.output.Write(p)
+}
