Announce the close of a connection when an answer's head is written

Callers saw: a connection that closes while their next request is on its way. A stopping entry told callers "Connection: close" only for requests that came after SIGTERM; the answers to earlier ones kept their connections, which were closed as idle 2.5 s later.

Change: the gateway asks whether it is leaving when it writes the head of an answer.

Evidence: TestAnswersAfterTheStopCloseTheirConnection fails on the code before in all three cases (whole answer, stream, refusal).

Also a test that a stream outlives the sidecar that gave it its slot, when that drains or ends (TestRunningStreamOutlivesItsSidecar); it passes before and after.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,14 @@
 // that are not likely to end within a time.
 func (g *Gateway) Leave(within time.Duration) { g.leaving.Store(time.Now().Add(within).UnixNano()) }
 
+// announceClose says in the head of an answer that its connection closes, if this
+// process is leaving. It is asked when the head is written: the request may be older.
+func (g *Gateway) announceClose(h http.Header) {
+	if g.leaving.Load() != 0 {
+		h.Set("Connection", "close")
+	}
+}
+
 // mayFinish reports whether a call is likely to end before this process does.
 func (g *Gateway) mayFinish(one *call) *Failure {
 	end := g.leaving.Load()
@@ -149,9 +157,6 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.options.Requests.begin()
 	defer g.options.Requests.end()
-	if g.leaving.Load() != 0 {
-		w.Header().Set("Connection", "close")
-	}
 	one, failure := g.accept(w, r)
 	defer one.hold.Release()
 	defer g.crashed(one)
@@ -167,7 +172,7 @@
 	}
 	ctx, cancel := one.context(r.Context())
 	defer cancel()
-	p := &progress{relay: newRelay(w, g.options.Codec)}
+	p := &progress{relay: newRelay(w, g.options.Codec, g.announceClose)}
 	failure = g.run(ctx, one, p)
 	g.settle(one, p)
 	g.conclude(w, r, one, p, failure)
--- /dev/null
+++ b/internal/gateway/leave_test.go
@@ -0,0 +1,65 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestAnswersAfterTheStopCloseTheirConnection guards against keeping connections whose
+// requests came before the stop: they would be closed as idle, in the way of the next one.
+func TestAnswersAfterTheStopCloseTheirConnection(t *testing.T) {
+	for path, answer := range map[string]serve{
+		"/unsafe/x": whole(http.StatusOK, "hello"),
+		"/stream/x": func(request *http.Request, conn net.Conn) { events(request, conn, 1, 3, false) },
+		"/safe/x":   whole(http.StatusServiceUnavailable, "busy", "Not-Run: 1\r\n"),
+	} {
+		t.Run(path, func(t *testing.T) {
+			var w *world
+			w = newWorld(t, func(request *http.Request, conn net.Conn) {
+				w.gateway.Leave(time.Minute)
+				answer(request, conn)
+			})
+			response, _, err := w.call("POST", path, "p")
+			w.c.Assert(err, qt.IsNil)
+			w.c.Assert(response.Close, qt.IsTrue)
+		})
+	}
+}
+
+// TestRunningStreamOutlivesItsSidecar stops a sidecar while a stream holds its slot: the
+// engine goes on, and so must the answer.
+func TestRunningStreamOutlivesItsSidecar(t *testing.T) {
+	for _, how := range []string{"drain", "end"} {
+		t.Run(how, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var w *engineWorld
+				w = newEngineWorld(t, 2, func(request *http.Request, conn net.Conn) {
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s1\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+					for i := 1; i <= 3; i++ {
+						text := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+						fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+						for _, e := range w.engines {
+							e.queue.Drain(time.Now())
+						}
+						if how == "end" {
+							w.leases.Close()
+						}
+						time.Sleep(300 * time.Millisecond)
+					}
+					fmt.Fprint(conn, "0\r\n\r\n")
+				})
+				response, cut := w.call()
+				w.c.Assert(cut, qt.IsFalse)
+				w.c.Assert(response.Body.String(), qt.Equals, threeEvents)
+				w.c.Assert(w.sends(), qt.Equals, int64(1))
+				w.expectNoTickets(0)
+			})
+		})
+	}
+}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -84,6 +84,7 @@
 		g.logger.Error().Str("request_id", one.info.ID).Err(err).Msg("the problem can't be encoded")
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	g.announceClose(h)
 	w.WriteHeader(f.Status)
 	if _, err := w.Write(body); err != nil {
 		g.lines.Info().Str("request_id", one.info.ID).Int("status", f.Status).Err(err).Msg("the caller left before its refusal")
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -90,6 +90,7 @@
 	c       *qt.C
 	gateway *gateway.Gateway
 	engines []*engine
+	leases  *slots.Client
 }
 
 func newEngineWorld(t *testing.T, number int, s serve) *engineWorld {
@@ -114,6 +115,7 @@
 	leases := slots.NewClient(func(ctx context.Context, _, address string) (net.Conn, error) {
 		return byAddress[address].sidecar.dial(ctx)
 	})
+	w.leases = leases
 	t.Cleanup(func() {
 		client.CloseIdle()
 		leases.Close()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,6 +33,8 @@
 type relay struct {
 	w     http.ResponseWriter
 	codec Codec
+	// announce adds what the head must say of the connection.
+	announce func(http.Header)
 	// started is true once the caller has part of an answer.
 	started bool
 	status  int
@@ -43,8 +45,8 @@
 	events, unnumbered int
 }
 
-func newRelay(w http.ResponseWriter, codec Codec) *relay {
-	return &relay{w: w, codec: codec}
+func newRelay(w http.ResponseWriter, codec Codec, announce func(http.Header)) *relay {
+	return &relay{w: w, codec: codec, announce: announce}
 }
 
 // resumeFrom returns the last event that the caller has; empty: none.
@@ -58,6 +60,7 @@
 		h[name] = values
 	}
 	h.Set("Content-Length", strconv.Itoa(len(held.body)))
+	r.announce(h)
 	r.w.WriteHeader(held.status)
 	if _, err := r.w.Write(held.body); err != nil {
 		return callerError(err)
@@ -82,6 +85,7 @@
 	for name, values := range r.codec.EncodeAnswer(r.header) {
 		h[name] = values
 	}
+	r.announce(h)
 	r.w.WriteHeader(r.status)
 }
 
