Let a broken stream wait for a slot past the objective of its first event

Callers saw: a stream that breaks off as soon as its engine fails, seconds before its deadline, although it may be resumed.

Cause: the ticket for the second engine carries the objective, which is for the first event. The caller has that already; under load the objective is over by then, and every sidecar refuses the ticket at once.

Change: the ticket of a stream that has begun carries the deadline only. Tickets of the stall watch keep the objective: their stream still has an engine.

--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -334,3 +334,24 @@
 		})
 	}
 }
+
+// TestBrokenStreamWaitsForASlotPastItsObjective guards against giving up a stream whose
+// first event came in time, as its objective is over when its engine breaks off.
+func TestBrokenStreamWaitsForASlotPastItsObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newEngineWorld(t, 2, func(request *http.Request, conn net.Conn) {
+			last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+			if last == 0 {
+				events(request, conn, 1, 2, true)
+				return
+			}
+			events(request, conn, last+1, 3, false)
+		})
+		_, _, release := w.occupyOthers()
+		time.AfterFunc(2*time.Second, release[0])
+		response, cut := w.call()
+		w.c.Assert(cut, qt.IsFalse)
+		w.c.Assert(response.Body.String(), qt.Equals, threeEvents)
+		w.expectNoTickets(0)
+	})
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -42,16 +42,24 @@
 	if len(list) == 0 {
 		return nil, unavailable(KindNoServer, defaultRetryAfter, "the service has no backend server that can be tried")
 	}
-	at, failure := g.placeAt(ctx, one, list, false)
+	at, failure := g.placeAt(ctx, one, list, placeTerms{begun: p.relay.started})
 	p.waited += time.Since(now)
 	return at, failure
 }
 
-// placeAt finds a place at one of the backend servers of a list. With granted set, an
-// engine whose sidecar is silent is no place.
-func (g *Gateway) placeAt(ctx context.Context, one *call, list []fleet.Server, granted bool) (*placement, *Failure) {
+// placeTerms say what a place is for.
+type placeTerms struct {
+	// begun says that the caller has the first events: the objective, which is for the
+	// first one, no longer bounds the wait.
+	begun bool
+	// granted excludes engines whose sidecar is silent: there is no slot to be sure of.
+	granted bool
+}
+
+// placeAt finds a place at one of the backend servers of a list.
+func (g *Gateway) placeAt(ctx context.Context, one *call, list []fleet.Server, terms placeTerms) (*placement, *Failure) {
 	if one.engine != nil {
-		return g.placeAtEngine(ctx, one, list, granted)
+		return g.placeAtEngine(ctx, one, list, terms)
 	}
 	server := g.servers.leastLoaded(list, time.Now())
 	return &placement{server: server, release: func(admission.Outcome) {}}, nil
@@ -77,9 +85,8 @@
 	asked int
 	// maxOpen and maxAsked bound the tickets at a time and in all.
 	maxOpen, maxAsked int
-	// granted excludes engines that would get the request without a slot.
-	granted bool
-	rest    []candidate
+	terms             placeTerms
+	rest              []candidate
 	// retryAfter is the shortest time that a sidecar named.
 	retryAfter time.Duration
 	reason     string
@@ -87,8 +94,8 @@
 
 // placeAtEngine queues a call at the sidecar of the most promising engine, and, while
 // it waits, at further ones. The first slot that is granted is taken.
-func (g *Gateway) placeAtEngine(ctx context.Context, one *call, list []fleet.Server, granted bool) (*placement, *Failure) {
-	t := &tickets{g: g, one: one, granted: granted, results: make(chan ticketResult, len(list)), rest: g.servers.candidates(list, one, time.Now())}
+func (g *Gateway) placeAtEngine(ctx context.Context, one *call, list []fleet.Server, terms placeTerms) (*placement, *Failure) {
+	t := &tickets{g: g, one: one, terms: terms, results: make(chan ticketResult, len(list)), rest: g.servers.candidates(list, one, time.Now())}
 	t.maxOpen, t.maxAsked = maxTickets, maxAsks
 	if g.delay() > leanDelay {
 		t.maxOpen, t.maxAsked = leanTickets, leanAsks
@@ -128,7 +135,7 @@
 		t.rest = t.rest[1:]
 		address := t.g.options.SlotAddress(c.server)
 		if c.silent || address == "" {
-			if t.granted || t.open > 0 || !t.g.servers.takeDirect(c.server.ID) {
+			if t.terms.granted || t.open > 0 || !t.g.servers.takeDirect(c.server.ID) {
 				continue
 			}
 			return t.direct(c.server)
@@ -154,7 +161,7 @@
 		Rank:          uint32(max(one.rank(), 0)),
 		BudgetMS:      steady.Until(one.deadline).Milliseconds(),
 		ObjectiveMS:   one.objectiveLeft().Milliseconds(),
-		HasObjective:  one.route.Objective > 0,
+		HasObjective:  one.route.Objective > 0 && !t.terms.begun,
 		LateHoldMS:    one.lateHold().Milliseconds(),
 		MaxEventGapMS: one.route.MaxEventGap.Milliseconds(),
 		PromptTokens:  one.info.PromptTokens,
@@ -175,7 +182,7 @@
 	case errors.As(result.err, &refused):
 		t.g.servers.sawLoad(result.server.ID, refused.Load)
 		t.reason = refused.Reason
-		if refused.Reason == admission.ReasonDeadline.String() && t.one.objectiveLeft() <= 0 {
+		if refused.Reason == admission.ReasonDeadline.String() && !t.terms.begun && t.one.objectiveLeft() <= 0 {
 			// It is too late for the request, whichever engine is asked.
 			t.rest = nil
 		}
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -158,7 +158,7 @@
 	if len(list) == 0 {
 		return nil, unavailable(KindNoServer, defaultRetryAfter, "the service has no other backend server")
 	}
-	return g.placeAt(ctx, one, list, true)
+	return g.placeAt(ctx, one, list, placeTerms{granted: true})
 }
 
 // giveBack frees a slot that isn't used.
