--- a/cmd/lagoonlane/process.go
+++ b/cmd/lagoonlane/process.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/callerconn"
 	"github.com/lagoonlane/lagoonlane/internal/settings"
 	"github.com/lagoonlane/lagoonlane/internal/telemetry"
@@ -31,6 +32,7 @@
 // process is what both roles have in common.
 type process struct {
 	logger   zerolog.Logger
+	logs     io.Closer
 	metrics  *telemetry.Metrics
 	internal *http.ServeMux
 	settings settings.Process
@@ -57,11 +59,11 @@
 }
 
 func newProcess(role string, own settings.Process, logs io.Writer) (*process, error) {
-	logger, err := telemetry.NewLogger(logs, own.LogLevel, role, own.ID)
+	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
 	}
-	metrics, err := telemetry.NewMetrics()
+	logger, closer, err := telemetry.NewProcessLogger(logs, own.LogLevel, role, own.ID, metrics)
 	if err != nil {
 		return nil, err
 	}
@@ -70,6 +72,7 @@
 		return nil, err
 	}
 	return &process{
+		logs:     closer,
 		logger:   logger.With().Str("data_centre", own.DataCentre).Logger(),
 		limiter:  limiter,
 		metrics:  metrics,
@@ -85,7 +88,7 @@
 	group, groupCtx := errgroup.WithContext(background)
 	servers, err := p.startServers(group, life)
 	if err != nil {
-		return err
+		return firstError(err, p.logs.Close())
 	}
 	for _, run := range life.background {
 		group.Go(func() error { return untilDone(groupCtx, run) })
@@ -100,7 +103,7 @@
 	stop()
 	err = group.Wait()
 	p.logger.Info().Msg("stopped")
-	return err
+	return firstError(err, p.logs.Close())
 }
 
 // untilDone runs background work. That it ended because ctx is done is no failure.
@@ -213,6 +216,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: platformIdleConns,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 	}}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -91,11 +91,11 @@
 
 // newAgedWorld returns a world whose configuration was confirmed some time ago.
 func newAgedWorld(t *testing.T, age time.Duration, servers ...serve) *world {
-	return newWorldWith(t, age, func(*gateway.Options) {}, servers...)
+	return newWorldWith(t, age, func(*world, *gateway.Options) {}, servers...)
 }
 
-// newWorldWith returns a world whose gateway has other options.
-func newWorldWith(t *testing.T, age time.Duration, change func(*gateway.Options), servers ...serve) *world {
+// newWorldWith returns a world whose gateway has changed options.
+func newWorldWith(t *testing.T, age time.Duration, change func(*world, *gateway.Options), servers ...serve) *world {
 	c := qt.New(t)
 	w := &world{c: c, age: age, late: &lateness{}, holder: &fleet.Holder{}, dir: fleet.NewDirectory(), lines: &lines{}}
 	for i, s := range servers {
@@ -118,7 +118,7 @@
 		},
 		Logger: zerolog.New(w.lines), Meter: w.metrics.Meter, Requests: &w.requests,
 	}
-	change(&options)
+	change(w, &options)
 	w.gateway, err = gateway.New(options)
 	c.Assert(err, qt.IsNil)
 	var base context.Context
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -38,13 +38,29 @@
 // place finds a backend server for a call, and waits for a slot where there are slots.
 func (g *Gateway) place(ctx context.Context, one *call, p *progress) (*placement, *Failure) {
 	now := time.Now()
-	list := g.servers.usable(g.options.Directory.Ready(one.service, now), p.tried, now)
+	defer func() { p.waited += time.Since(now) }()
+	ready := g.options.Directory.Ready(one.service, now)
+	choice := g.options.Rollouts.Choose(one.service, one.route.Name, ready, p.sends > 0, now)
+	if choice.Trial() {
+		bounded, cancel := context.WithTimeout(ctx, choice.Patience)
+		defer cancel()
+		if at, failure := g.placeAmong(bounded, one, p, choice.First); failure == nil {
+			return at, nil
+		}
+		choice.Return()
+		return g.placeAmong(ctx, one, p, choice.Rest)
+	}
+	return g.placeAmong(ctx, one, p, choice.First)
+}
+
+// placeAmong finds a backend server among some.
+func (g *Gateway) placeAmong(ctx context.Context, one *call, p *progress, ready []fleet.Server) (*placement, *Failure) {
+	now := time.Now()
+	list := g.servers.usable(ready, p.tried, now)
 	if len(list) == 0 {
 		return nil, unavailable(KindNoServer, defaultRetryAfter, "the service has no backend server that can be tried")
 	}
-	at, failure := g.placeAt(ctx, one, list, placeTerms{begun: p.relay.started})
-	p.waited += time.Since(now)
-	return at, failure
+	return g.placeAt(ctx, one, list, placeTerms{begun: p.relay.started})
 }
 
 // placeTerms say what a place is for.
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -103,6 +103,9 @@
 // on in the meantime. Without a place it looks again later.
 func (w *stallWatch) look() {
 	if steady.Until(w.one.deadline) < w.one.route.Objective {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.log().Str("outcome", "kept").Str("reason", "too little time is left for another answer").Msg("stall")
 		return
 	}
 	ctx, cancel := context.WithCancel(w.parent)
@@ -154,7 +157,8 @@
 	if !g.retries.left(one.service, g.options.Entries(), now) {
 		return nil, errNoRepeat
 	}
-	list := g.servers.usable(g.options.Directory.Ready(one.service, now), tried, now)
+	ready := g.options.Rollouts.Choose(one.service, one.route.Name, g.options.Directory.Ready(one.service, now), true, now).First
+	list := g.servers.usable(ready, tried, now)
 	if len(list) == 0 {
 		return nil, unavailable(KindNoServer, defaultRetryAfter, "the service has no other backend server")
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -14,7 +13,9 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
 
@@ -57,7 +58,13 @@
 	Confirmed time.Time
 }
 
-// Options configure a Roster. All are required.
+// Rollouts exchanges what entries know of roll-outs. *rollout.Keeper is one.
+type Rollouts interface {
+	Report() []rollout.Report
+	Hear(id, boot string, reports []rollout.Report, at time.Time)
+}
+
+// Options configure a Roster. All but Rollouts are required.
 type Options struct {
 	ID      string
 	Address string
@@ -70,7 +77,9 @@
 	Offer func(raw []byte)
 	// Confirm says that a version was known to be the newest one at a moment.
 	Confirm func(version int64, at time.Time)
-	Logger  zerolog.Logger
+	// Rollouts may be nil.
+	Rollouts Rollouts
+	Logger   zerolog.Logger
 }
 
 // member is what is known of another entry.
@@ -86,6 +95,7 @@
 	// lost says that the last call failed.
 	lost     bool
 	accounts map[string]limit.Use
+	rollouts []rollout.Report
 }
 
 // Roster exchanges with the other entries. It is safe for concurrent use.
@@ -149,6 +159,29 @@
 	return alive, 2*alive > known
 }
 
+// Standing returns this entry's place among the entries, by their ids.
+func (r *Roster) Standing() rollout.Standing {
+	now := time.Now()
+	alive, known := 1, 1
+	standing := rollout.Standing{}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	within := r.aliveWithin()
+	for _, m := range r.members {
+		if now.Sub(m.heard) < within {
+			alive++
+			if m.id < r.options.ID {
+				standing.Rank++
+			}
+		}
+		if now.Sub(m.heard) < knownFor {
+			known++
+		}
+	}
+	standing.Known, standing.Quorate = known, 2*alive > known
+	return standing
+}
+
 // aliveWithin returns how long an entry counts as alive after it was heard.
 func (r *Roster) aliveWithin() time.Duration {
 	if len(r.members) <= smallRoster {
@@ -213,7 +246,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked, askedSteady := time.Now(), steady.Now()
-	answer, err := r.exchange(ctx, m.address)
+	address := r.addressOf(m)
+	answer, err := r.exchange(ctx, address)
 	r.mu.Lock()
 	m.calling = false
 	changed := m.lost != (err != nil)
@@ -233,13 +267,20 @@
 	mine := r.options.Configuration()
 	switch {
 	case answer.Version > mine.Version:
-		r.fetch(ctx, m.address)
+		r.fetch(ctx, address)
 	case answer.Version == mine.Version && answer.ConfirmedAgeMS >= 0:
 		// The answer was made after the call, so this errs on the safe side.
 		r.options.Confirm(answer.Version, askedSteady.Add(-milliseconds(answer.ConfirmedAgeMS)))
 	}
 }
 
+// addressOf returns the address of an entry, which other calls may change meanwhile.
+func (r *Roster) addressOf(m *member) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return m.address
+}
+
 func (r *Roster) exchange(ctx context.Context, address string) (*message, error) {
 	body, err := json.Marshal(r.message())
 	if err != nil {
@@ -273,7 +314,7 @@
 		return nil, errors.Wrap(err, "roster call")
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	data, err := bounded.ReadAll(response.Body, maxMessageBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "roster answer")
 	}
@@ -303,6 +344,9 @@
 	if !configuration.Confirmed.IsZero() {
 		told.ConfirmedAgeMS = steady.Since(configuration.Confirmed).Milliseconds() + 1
 	}
+	if r.options.Rollouts != nil {
+		told.Uses[0].Rollouts = r.options.Rollouts.Report()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.members) > smallRoster {
@@ -310,7 +354,7 @@
 	}
 	for _, m := range r.members {
 		if age := now.Sub(m.heard); age < relayFor {
-			told.Uses = append(told.Uses, entryUse{ID: m.id, Address: m.address, Boot: m.boot, UpMS: m.up.Milliseconds(), AgeMS: age.Milliseconds(), Accounts: m.accounts})
+			told.Uses = append(told.Uses, entryUse{ID: m.id, Address: m.address, Boot: m.boot, UpMS: m.up.Milliseconds(), AgeMS: age.Milliseconds(), Accounts: m.accounts, Rollouts: m.rollouts})
 		}
 	}
 	return told
@@ -318,8 +362,21 @@
 
 // take learns from what another entry told.
 func (r *Roster) take(told *message, now time.Time) {
+	news := r.learnUses(told, now)
+	if r.options.Rollouts == nil {
+		return
+	}
+	// Without the lock held: whoever hears this may ask for this entry's standing.
+	for _, use := range news {
+		r.options.Rollouts.Hear(use.ID, use.Boot, use.Rollouts, now.Add(-milliseconds(use.AgeMS)))
+	}
+}
+
+// learnUses learns of entries and returns what is newer than what was known of them.
+func (r *Roster) learnUses(told *message, now time.Time) []entryUse {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var news []entryUse
 	for _, use := range told.Uses {
 		heard := now.Add(-milliseconds(use.AgeMS))
 		m := r.members[use.ID]
@@ -327,9 +384,11 @@
 			continue
 		}
 		m = r.learn(use.ID, use.Address)
-		m.heard, m.boot, m.up, m.accounts = heard, use.Boot, milliseconds(use.UpMS), use.Accounts
+		m.heard, m.boot, m.up, m.accounts, m.rollouts = heard, use.Boot, milliseconds(use.UpMS), use.Accounts, use.Rollouts
 		r.options.Pool.Hear(use.ID, use.Boot, heard.Add(-milliseconds(use.UpMS)), use.Accounts, heard)
+		news = append(news, use)
 	}
+	return news
 }
 
 // Register serves the other entries on a mux.
@@ -340,7 +399,7 @@
 
 func (r *Roster) serveExchange(w http.ResponseWriter, request *http.Request) {
 	var told message
-	if err := json.NewDecoder(io.LimitReader(request.Body, maxMessageBytes)).Decode(&told); err != nil {
+	if err := json.NewDecoder(bounded.NewReader(request.Body, maxMessageBytes)).Decode(&told); err != nil {
 		http.Error(w, "the message can't be read: "+err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -12,6 +12,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/lagoonlane/lagoonlane/internal/bounded"
+	"github.com/lagoonlane/lagoonlane/internal/bounded/boundedtest"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/roster"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
@@ -35,6 +37,10 @@
 }
 
 func newEntry(t *testing.T, id string, configuration roster.Configuration) *entry {
+	return newEntryWith(t, id, configuration, nil)
+}
+
+func newEntryWith(t *testing.T, id string, configuration roster.Configuration, rollouts roster.Rollouts) *entry {
 	e := &entry{configuration: configuration, pool: limit.NewPool(time.Now())}
 	mux := http.NewServeMux()
 	server := httptest.NewUnstartedServer(nil)
@@ -46,7 +52,7 @@
 	e.address = server.Listener.Addr().String()
 	e.Roster = roster.New(roster.Options{
 		ID: id, Address: e.address, Boot: id, Client: client, Pool: e.pool, Logger: zerolog.Nop(),
-		Configuration: e.current,
+		Configuration: e.current, Rollouts: rollouts,
 		Offer: func(raw []byte) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -125,3 +131,31 @@
 	go a.Run(ctx)
 	eventually(c, "the one that is gone doesn't count", func() bool { return a.Entries() == 2 })
 }
+
+// Another entry whose messages have no end is silent: nothing of it is taken over.
+func TestEndlessEntryIsSilent(t *testing.T) {
+	for name, bytes := range map[string][2]string{
+		"headers": {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		"body":    {"HTTP/1.1 200 OK\r\n\r\n", " "},
+		"text":    {"HTTP/1.1 200 OK\r\n\r\n{\"id\":\"", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server := boundedtest.Serve(t, bytes[0], bytes[1])
+			client := &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: bounded.MaxHeadBytes}}
+			defer client.CloseIdleConnections()
+			offered := make(chan []byte, 1)
+			r := roster.New(roster.Options{
+				ID: "a", Address: "127.0.0.1:1", Boot: "a", Client: client, Pool: limit.NewPool(time.Now()), Logger: zerolog.Nop(),
+				Configuration: func() roster.Configuration { return roster.Configuration{} },
+				Offer:         func(raw []byte) { offered <- raw }, Confirm: func(int64, time.Time) {},
+			})
+			r.Learn("b", server.Address)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_ = r.Run(ctx)
+			c.Assert(offered, qt.HasLen, 0)
+			c.Assert(server.Sent.Load() < 100<<20, qt.IsTrue, qt.Commentf("%d", server.Sent.Load()))
+		})
+	}
+}
--- a/internal/slots/message.go
+++ b/internal/slots/message.go
@@ -27,6 +27,11 @@
 	// maxNamedRequests bounds the requests that the line of a lost connection names; the
 	// others have lines of their own.
 	maxNamedRequests = 20
+	// maxMessageBytes bounds a message: its longest part is the request id, which a caller
+	// chooses within its headers (256 KiB at most, six times that as JSON).
+	maxMessageBytes = 2 << 20
+	// maxUpgradeBytes bounds the answer to an upgrade, which is some hundred bytes.
+	maxUpgradeBytes = 16 << 10
 	// maxUnsentMessages on one connection mean that the other side doesn't read.
 	maxUnsentMessages = 4096
 )
