--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -90,6 +90,7 @@
 	c       *qt.C
 	gateway *gateway.Gateway
 	engines []*engine
+	leases  *slots.Client
 }
 
 func newEngineWorld(t *testing.T, number int, s serve) *engineWorld {
@@ -114,6 +115,7 @@
 	leases := slots.NewClient(func(ctx context.Context, _, address string) (net.Conn, error) {
 		return byAddress[address].sidecar.dial(ctx)
 	})
+	w.leases = leases
 	t.Cleanup(func() {
 		client.CloseIdle()
 		leases.Close()
@@ -378,3 +380,24 @@
 		w.expectNoTickets(0)
 	})
 }
+
+// TestBrokenStreamWaitsForASlotPastItsObjective guards against giving up a stream whose
+// first event came in time, as its objective is over when its engine breaks off.
+func TestBrokenStreamWaitsForASlotPastItsObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newEngineWorld(t, 2, func(request *http.Request, conn net.Conn) {
+			last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+			if last == 0 {
+				events(request, conn, 1, 2, true)
+				return
+			}
+			events(request, conn, last+1, 3, false)
+		})
+		_, _, release := w.occupyOthers()
+		time.AfterFunc(2*time.Second, release[0])
+		response, cut := w.call()
+		w.c.Assert(cut, qt.IsFalse)
+		w.c.Assert(response.Body.String(), qt.Equals, threeEvents)
+		w.expectNoTickets(0)
+	})
+}
