Let go of the context of a closed connection

A busy entry would have run out of its memory in the end, with all its requests.

Cause: the context that tells who closed a connection was cancelled only when this process closed it while it was idle. Now it ends with the connection. go test -run ContextOfAClosed ./internal/transport fails on the code before (not ended after 5 s) and passes now.

--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -270,6 +270,10 @@
 		}
 	case http.StateHijacked, http.StateClosed:
 		c.open.Add(-1)
+		if w.cancel != nil {
+			// Until then the context hangs on to that of the process.
+			w.cancel(nil)
+		}
 		w.conclude(before)
 	}
 }
--- a/internal/transport/connections_test.go
+++ b/internal/transport/connections_test.go
@@ -27,6 +27,8 @@
 	address     string
 	mu          sync.Mutex
 	logs        bytes.Buffer
+	// contexts are those of the connections.
+	contexts chan context.Context
 }
 
 func (w *watched) Write(p []byte) (int, error) {
@@ -37,7 +39,7 @@
 
 func newWatched(t *testing.T, idleTimeout time.Duration, handler http.HandlerFunc) *watched {
 	c := qt.New(t)
-	w := &watched{c: c, server: &http.Server{Handler: handler, IdleTimeout: idleTimeout}}
+	w := &watched{c: c, contexts: make(chan context.Context, 100), server: &http.Server{Handler: handler, IdleTimeout: idleTimeout}}
 	var err error
 	w.connections, err = transport.NewConnections(zerolog.New(w), nil)
 	c.Assert(err, qt.IsNil)
@@ -46,6 +48,12 @@
 	w.address = listener.Addr().String()
 	served := make(chan error, 1)
 	w.connections.Observe(w.server)
+	observed := w.server.ConnContext
+	w.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		ctx = observed(ctx, conn)
+		w.contexts <- ctx
+		return ctx
+	}
 	go func() { served <- w.server.Serve(w.connections.Listener(listener)) }()
 	t.Cleanup(func() {
 		_ = w.server.Close()
@@ -103,6 +111,21 @@
 	w.c.Assert(w.logs.Len(), qt.Equals, 0)
 }
 
+// The context of a connection that its caller closed stayed with the process for ever.
+func TestContextOfAClosedConnectionEnds(t *testing.T) {
+	w := newWatched(t, time.Minute, func(http.ResponseWriter, *http.Request) {})
+	conn := w.dial()
+	fmt.Fprint(conn, wholeRequest)
+	ctx := <-w.contexts
+	w.c.Assert(ctx.Err(), qt.IsNil)
+	conn.Close()
+	select {
+	case <-ctx.Done():
+	case <-time.After(5 * time.Second):
+		w.c.Fatal("the context has not ended")
+	}
+}
+
 // Part of a request has come when the server closes the connection as idle: the caller
 // loses that request, which must show.
 func TestConnectionClosedWhileARequestArrivesHasALine(t *testing.T) {
