--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,7 +21,6 @@
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
 
-
 // Bounds are the limits that the deployment sets.
 type Bounds struct {
 	// ApplyWithin is how long a configuration change may take.
