Roll-outs: look for faults that came lately before requests move

Change: the share falls to 0.4; the proof also judges the last 4 s; a containment asks for 3.3 standard errors beyond a third, where good versions rank well below 0.

--- a/internal/rollout/course.go
+++ b/internal/rollout/course.go
@@ -27,7 +27,7 @@
 	moveSlop = 200 * time.Millisecond
 	// provenPart is the part of the deployment's bound that the target gets once there is
 	// plenty of evidence: enough to see that it turns bad.
-	provenPart = 0.2
+	provenPart = 0.4
 	// longestMovePart bounds the time over which requests move, in parts of the order's.
 	longestMovePart = 0.35
 	// coldPart is the part of the order's time for which trials wait for a server that is
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -21,9 +21,9 @@
 	// isn't contained.
 	baselineRequests = 60
 	// containScore and proofScore are the standard errors by which the target's times must
-	// rank above others' for a containment (a chance of 1e-5 for each look), and may rank
+	// rank above others' for a containment (a chance of 5e-4 for each look), and may rank
 	// for a proof (0.05): taking a good version back is cheaper than going on with a bad one. A containment asks for more than one bucket (a third).
-	containScore   = 4.3
+	containScore   = 3.3
 	containBuckets = 1
 	proofScore     = 1.7
 	// aheadBy is the number of requests by which the evidence on one route may be ahead of
@@ -142,6 +142,11 @@
 	if verdict := health.Judge(all, target, proofTolerance); verdict.Decision != health.Healthy {
 		return verdict.Decision, reasonOr(verdict.Reason, evidenceOf(all, target))
 	}
+	// A version may have been good until lately.
+	recent := c.evidence.Window(c.key(true, allRoutes), judgeWindows[0])
+	if verdict := health.Judge(all, recent, proofTolerance); verdict.Decision == health.Faulty {
+		return verdict.Decision, "lately: " + verdict.Reason
+	}
 	if all.GetRequests() < proofTolerance.Requests() {
 		return health.Undecided, "too little to compare with: " + evidenceOf(all, target)
 	}
