Ask for as many tokens in the end-to-end stream as its engine sends

The streams of bench/e2e asked for 100 tokens and got 200 events; since a stream that goes on past what was asked is cut, TestLostReaderOfLogsEndsNoProcess failed each time. The check is as before: all 200 events must come. go test -race -run 'Reload|SeriesOf|ReaderOfLogs' ./bench/e2e passes.

--- a/bench/e2e/platform_test.go
+++ b/bench/e2e/platform_test.go
@@ -138,7 +138,7 @@
 
 // open asks for a stream and returns it once its first event is there.
 func (s *platformSite) open(id string) *stream {
-	ask := standin.Ask{ID: id, Key: "key-open", Patience: streamPatience, PromptTokens: 100, OutputTokens: 100}
+	ask := standin.Ask{ID: id, Key: "key-open", Patience: streamPatience, PromptTokens: 100, OutputTokens: longStream}
 	r, err := http.NewRequestWithContext(s.c.Context(), http.MethodPost, "http://"+s.entry.machine.Front+"/stream/x", strings.NewReader("prompt"))
 	s.c.Assert(err, qt.IsNil)
 	r.Host, r.Header = standin.Host, ask.Header()
