--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -159,29 +159,6 @@
 	return alive, 2*alive > known
 }
 
-// Standing returns this entry's place among the entries, by their ids.
-func (r *Roster) Standing() rollout.Standing {
-	now := time.Now()
-	alive, known := 1, 1
-	standing := rollout.Standing{}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	within := r.aliveWithin()
-	for _, m := range r.members {
-		if now.Sub(m.heard) < within {
-			alive++
-			if m.id < r.options.ID {
-				standing.Rank++
-			}
-		}
-		if now.Sub(m.heard) < knownFor {
-			known++
-		}
-	}
-	standing.Known, standing.Quorate = known, 2*alive > known
-	return standing
-}
-
 // aliveWithin returns how long an entry counts as alive after it was heard.
 func (r *Roster) aliveWithin() time.Duration {
 	if len(r.members) <= smallRoster {
