Measure endless answers of platform services in virtual time

TestEndlessAnswerOfTheStoreIsNone failed about once in 80 runs on a busy machine: its server and reader burned processor time over sockets against a wall-clock bound of 2 s.

The servers of bytes without end now answer over connections in memory (boundedtest.Pipes) inside a synctest bubble, at full speed and as a drip.

--- a/internal/bounded/boundedtest/boundedtest.go
+++ b/internal/bounded/boundedtest/boundedtest.go
@@ -3,12 +3,14 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 const (
@@ -17,6 +19,8 @@
 	// SocketBytes is what the buffers of two sockets take at most with the usual settings
 	// of Linux (tcp_rmem, tcp_wmem) beside what the reader has read.
 	SocketBytes = 48 << 20
+	// DripTime is how long a drip lasts: longer than any reader waits.
+	DripTime = time.Minute
 )
 
 // Server answers every request with the same bytes, of which the last come on and on.
@@ -64,6 +68,45 @@
 	}
 }
 
+// Pipes answers over connections in memory, for virtual time: a busy machine doesn't make
+// it late, and what it got rid of is what was read.
+type Pipes struct {
+	Begin, Repeat string
+	// Pause is the time between two repetitions; 0: they come at full speed.
+	Pause time.Duration
+	// Sent is the number of bytes that were read.
+	Sent atomic.Int64
+}
+
+// Dial opens a connection to a server that answers one request.
+func (p *Pipes) Dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go p.answer(far)
+	return near, nil
+}
+
+func (p *Pipes) answer(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	block, began := p.Begin, time.Now()
+	for err == nil && p.Sent.Load() < enough && time.Since(began) < DripTime {
+		var n int
+		n, err = io.WriteString(conn, block)
+		p.Sent.Add(int64(n))
+		if block = p.Repeat; p.Pause > 0 {
+			time.Sleep(p.Pause)
+			continue
+		}
+		block = strings.Repeat(p.Repeat, 1+(64<<10)/len(p.Repeat))
+	}
+}
+
 // Answers are the beginnings of answers of HTTP, by the part that has no end, with what
 // comes on and on.
 func Answers() map[string][2]string {
