Measure endless answers of backend servers in virtual time

The promptness tests of bytes without end had wall-clock bounds of 1 to 1.5 s over real sockets: 5 of 6 parallel -race processes failed at load 64.

A world of the gateway's tests now stands on a network: sockets, or pipes in memory for a synctest bubble. All patterns are kept. Bounds: the routes' objective of 300 ms for bytes at full speed (was 1.5 s), the same 1.5 s for a drip that another server makes up for, and the route's timeout of 500 ms for one that nobody does (was 1 s).

--- a/internal/gateway/endless_stream_test.go
+++ b/internal/gateway/endless_stream_test.go
@@ -42,8 +42,11 @@
 			return
 		}
 		text = block
-		time.Sleep(e.pause)
+		if e.pause > 0 {
+			time.Sleep(e.pause)
+		}
 	}
+	time.Sleep(longPause)
 }
 
 // streamPatterns are bytes without end that complete no event.
@@ -64,9 +67,8 @@
 func TestStreamWithoutEventsGoesOnElsewhere(t *testing.T) {
 	for name, one := range streamPatterns() {
 		for _, before := range []int{0, 2} {
-			for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
-				t.Run(fmt.Sprint(name, " ", before, " ", pause), func(t *testing.T) {
-					t.Parallel()
+			for _, pause := range []time.Duration{0, dripPause} {
+				inVirtualTime(t, func(t *testing.T) {
 					bad := &endlessStream{events: before, begin: one.begin, repeat: one.repeat, pause: pause}
 					s := func(request *http.Request, conn net.Conn) {
 						if bad.calls.Load() == 0 {
@@ -75,13 +77,14 @@
 						}
 						events(request, conn, before+1, 3, false)
 					}
-					w := newWorld(t, s, s)
+					w := newPipeWorld(t, s, s)
 					began := time.Now()
 					_, body, err := w.call("POST", "/resumable/x", "p")
 					w.c.Assert(err, qt.IsNil)
 					w.c.Assert(body, qt.Equals, threeEvents)
-					w.c.Assert(time.Since(began) < prompt, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
-				})
+					w.c.Assert(time.Since(began) < promptAfter(pause), qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+					wantOne(w.c, &bad.closed)
+				}, name, " ", before, " ", pause)
 			}
 		}
 	}
@@ -91,12 +94,12 @@
 func TestStreamWithoutEventsIsCut(t *testing.T) {
 	for name, one := range streamPatterns() {
 		for _, before := range []int{0, 2} {
-			t.Run(fmt.Sprint(name, " ", before), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
 				bad := &endlessStream{events: before, begin: one.begin, repeat: one.repeat}
-				w := newWorld(t, bad.serve)
+				w := newPipeWorld(t, bad.serve)
 				began := time.Now()
 				response, _, err := w.call("POST", "/stream/x", "p")
-				w.c.Assert(time.Since(began) < prompt, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+				w.c.Assert(time.Since(began) < atOnce, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 				if before > 0 {
 					w.c.Assert(err, qt.Not(qt.IsNil))
 				} else {
@@ -104,7 +107,8 @@
 					w.c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
 				}
 				w.c.Assert(bad.calls.Load(), qt.Equals, int64(1))
-			})
+				wantOne(w.c, &bad.closed)
+			}, name, " ", before)
 		}
 	}
 }
@@ -135,18 +139,18 @@
 		"words":      "id: aN\ndata: x\n\n",
 	} {
 		for _, path := range []string{"/stream/x", "/resumable/x"} {
-			t.Run(name+path, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
 				var sent atomic.Int64
 				var calls atomic.Int64
 				s := func(request *http.Request, conn net.Conn) { calls.Add(1); streamOf(&sent, format)(request, conn) }
-				w := newWorld(t, s, s)
+				w := newPipeWorld(t, s, s)
 				request, err := http.NewRequest("POST", w.front.URL+path, strings.NewReader("p"))
 				w.c.Assert(err, qt.IsNil)
 				for key, value := range map[string]string{"Id": fmt.Sprint("r", requestNumber.Add(1)), "Key": "key", "Tokens": "50"} {
 					request.Header.Set(key, value)
 				}
 				began := time.Now()
-				response, err := http.DefaultClient.Do(request)
+				response, err := w.client.Do(request)
 				var body []byte
 				if err == nil {
 					body, err = io.ReadAll(response.Body)
@@ -154,10 +158,10 @@
 				}
 				// Only a connection that breaks off says that the stream isn't whole.
 				w.c.Assert(err, qt.Not(qt.IsNil))
-				w.c.Assert(time.Since(began) < prompt, qt.IsTrue)
+				w.c.Assert(time.Since(began) < atOnce, qt.IsTrue)
 				w.c.Assert(strings.Count(string(body), "data:") <= 66, qt.IsTrue)
 				w.c.Assert(calls.Load(), qt.Equals, int64(1))
-			})
+			}, name, path)
 		}
 	}
 }
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -25,9 +25,18 @@
 const (
 	// enough is what a server sends here that would send without end.
 	enough = 64 << 20
-	// prompt is when callers of such a server must have their final answer: well before
-	// their timeout of 2 s.
+	// atOnce is when callers must have a final answer in place of bytes at full speed: the
+	// objective of their routes.
+	atOnce = 300 * time.Millisecond
+	// prompt is when callers must have a final answer in place of a drip that another server
+	// can make up for: well before their timeout of 2 s.
 	prompt = 1500 * time.Millisecond
+	// briefTimeout is the timeout of the route "brief".
+	briefTimeout = 500 * time.Millisecond
+	// dripPause is the time between two repetitions of a drip.
+	dripPause = 20 * time.Millisecond
+	// usual is the time of an answer of a server that is well.
+	usual = 2 * time.Millisecond
 )
 
 // endless answers with some bytes, then others without end, at full speed or one in
@@ -50,8 +59,12 @@
 			e.closed.Add(1)
 			return
 		}
-		time.Sleep(e.pause)
+		if e.pause > 0 {
+			time.Sleep(e.pause)
+		}
 	}
+	// Whoever has read it all gets no more, and no end.
+	time.Sleep(longPause)
 }
 
 const (
@@ -86,26 +99,34 @@
 // gets a final answer at once, and the connection is closed.
 func TestEndlessAnswerEndsPromptly(t *testing.T) {
 	for name, one := range patterns() {
-		t.Run(name, func(t *testing.T) {
-			w := newWorld(t, one.serve)
+		inVirtualTime(t, func(t *testing.T) {
+			w := newPipeWorld(t, one.serve)
 			began := time.Now()
 			response, body, err := w.call("POST", "/unsafe/x", "p")
 			w.c.Assert(err, qt.IsNil)
 			w.c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
 			w.c.Assert(body, qt.Contains, `"outcome":"unknown"`)
-			w.c.Assert(time.Since(began) < prompt, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+			w.c.Assert(time.Since(began) < atOnce, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 			w.c.Assert(one.calls.Load(), qt.Equals, int64(1))
 			one.wantClosed(w.c)
-		})
+		}, name)
 	}
 }
 
+// promptAfter is when callers must have their final answer.
+func promptAfter(pause time.Duration) time.Duration {
+	if pause == 0 {
+		return atOnce
+	}
+	return prompt
+}
+
 // A request that may be repeated is, at another server, whatever comes without end and
 // however slowly: a drip that completes nothing is silence.
 func TestEndlessAnswerIsLeftForAnotherServer(t *testing.T) {
 	for name, one := range patterns() {
-		for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
-			t.Run(fmt.Sprint(name, " ", pause), func(t *testing.T) {
+		for _, pause := range []time.Duration{0, dripPause} {
+			inVirtualTime(t, func(t *testing.T) {
 				bad := &endless{begin: one.begin, repeat: one.repeat, pause: pause}
 				var broken atomic.Bool
 				either := func(request *http.Request, conn net.Conn) {
@@ -113,9 +134,10 @@
 						bad.serve(request, conn)
 						return
 					}
+					time.Sleep(usual)
 					whole(200, "hello")(request, conn)
 				}
-				w := newWorld(t, either, either)
+				w := newPipeWorld(t, either, either)
 				for range 8 {
 					// The usual answer time becomes known.
 					_, _, err := w.call("GET", "/safe/x", "")
@@ -127,10 +149,10 @@
 				w.c.Assert(err, qt.IsNil)
 				w.c.Assert(response.StatusCode, qt.Equals, 200)
 				w.c.Assert(body, qt.Equals, "hello")
-				w.c.Assert(time.Since(began) < prompt, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+				w.c.Assert(time.Since(began) < promptAfter(pause), qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 				w.c.Assert(bad.calls.Load(), qt.Equals, int64(1))
 				bad.wantClosed(w.c)
-			})
+			}, name, " ", pause)
 		}
 	}
 }
@@ -139,25 +161,28 @@
 // longer, and counts against the server.
 func TestEndlessDripEndsAtTheDeadline(t *testing.T) {
 	for name, one := range patterns() {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			bad := &endless{begin: one.begin, repeat: one.repeat, pause: 20 * time.Millisecond}
-			w := newWorld(t, bad.serve)
+		inVirtualTime(t, func(t *testing.T) {
+			bad := &endless{begin: one.begin, repeat: one.repeat, pause: dripPause}
+			w := newPipeWorld(t, bad.serve)
 			began := time.Now()
 			response, _, err := w.call("POST", "/brief/x", "p")
 			w.c.Assert(err, qt.IsNil)
 			w.c.Assert(response.StatusCode == 504 || response.StatusCode == 502, qt.IsTrue)
-			w.c.Assert(time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+			w.c.Assert(time.Since(began) <= briefTimeout, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 			bad.wantClosed(w.c)
-		})
+		}, name)
 	}
 }
 
-func (e *endless) wantClosed(c *qt.C) {
-	for end := time.Now().Add(time.Second); e.closed.Load() == 0 && time.Now().Before(end); {
+func (e *endless) wantClosed(c *qt.C) { wantOne(c, &e.closed) }
+
+// wantOne checks that a count gets to one, soon.
+func wantOne(c *qt.C, count *atomic.Int64) {
+	c.Helper()
+	for end := time.Now().Add(time.Second); count.Load() == 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	c.Assert(e.closed.Load(), qt.Equals, int64(1))
+	c.Assert(count.Load(), qt.Equals, int64(1))
 }
 
 // A server whose answers have no end is passed over.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -71,6 +71,7 @@
 type world struct {
 	c       *qt.C
 	front   *httptest.Server
+	client  *http.Client
 	holder  *fleet.Holder
 	gateway *gateway.Gateway
 	dir     *fleet.Directory
@@ -96,14 +97,19 @@
 
 // newWorldWith returns a world whose gateway has changed options.
 func newWorldWith(t *testing.T, age time.Duration, change func(*world, *gateway.Options), servers ...serve) *world {
+	return newWorldOn(t, sockets{}, age, change, servers...)
+}
+
+// newWorldOn returns a world on a network.
+func newWorldOn(t *testing.T, on network, age time.Duration, change func(*world, *gateway.Options), servers ...serve) *world {
 	c := qt.New(t)
-	w := &world{c: c, age: age, late: &lateness{}, holder: &fleet.Holder{}, dir: fleet.NewDirectory(), lines: &lines{}}
+	w := &world{c: c, client: on.client(), age: age, late: &lateness{}, holder: &fleet.Holder{}, dir: fleet.NewDirectory(), lines: &lines{}}
 	for i, s := range servers {
-		w.dir.Put(fleet.Server{ID: fmt.Sprint("server-", i), Service: "plain", Address: backend(t, s), Slots: 4})
+		w.dir.Put(fleet.Server{ID: fmt.Sprint("server-", i), Service: "plain", Address: backend(t, on, s), Slots: 4})
 	}
 	w.dir.StoreAnswered(time.Now())
 	w.manifest(1, "key")
-	client := upstream.New(upstream.Options{IDOf: func(h http.Header) string { return h.Get("Id") }})
+	client := upstream.New(upstream.Options{IDOf: func(h http.Header) string { return h.Get("Id") }, Dial: on.dial()})
 	t.Cleanup(client.CloseIdle)
 	var err error
 	w.metrics, err = telemetry.NewMetrics()
@@ -123,10 +129,11 @@
 	c.Assert(err, qt.IsNil)
 	var base context.Context
 	base, w.end = context.WithCancelCause(context.Background())
-	w.front = httptest.NewUnstartedServer(w.gateway)
+	w.front = &httptest.Server{Listener: on.listen(t), Config: &http.Server{Handler: w.gateway}}
 	w.front.Config.BaseContext = func(net.Listener) context.Context { return base }
 	w.front.Start()
 	t.Cleanup(w.front.Close)
+	t.Cleanup(w.client.CloseIdleConnections)
 	return w
 }
 
@@ -162,12 +169,9 @@
 	w.holder.Confirm(steady.Now().Add(-w.age))
 }
 
-// backend listens on loopback and reads one request after the other.
-func backend(t *testing.T, s serve) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+// backend listens and reads one request after the other.
+func backend(t *testing.T, on network, s serve) string {
+	listener := on.listen(t)
 	t.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
@@ -209,7 +213,7 @@
 	w.c.Assert(err, qt.IsNil)
 	request.Header.Set("Id", fmt.Sprint("r", requestNumber.Add(1)))
 	request.Header.Set("Key", "key")
-	response, err := http.DefaultClient.Do(request)
+	response, err := w.client.Do(request)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -75,10 +76,12 @@
 
 // An endless rejection is a rejection: it says in its head that the request has not run.
 func TestEndlessRejectionIsATrueRefusal(t *testing.T) {
-	bad := &endless{begin: "HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\n\r\n", repeat: "x"}
-	w := newWorld(t, bad.serve)
-	response, _, err := w.call("POST", "/unsafe/x", "p")
-	w.c.Assert(err, qt.IsNil)
-	w.c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
-	bad.wantClosed(w.c)
+	synctest.Test(t, func(t *testing.T) {
+		bad := &endless{begin: "HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\n\r\n", repeat: "x"}
+		w := newPipeWorld(t, bad.serve)
+		response, _, err := w.call("POST", "/unsafe/x", "p")
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		bad.wantClosed(w.c)
+	})
 }
