Keep lapsed servers until two seconds after the store's last failure

Cause: what vanished from the list while this process couldn't read it may only have lapsed, and is kept for 2 s. These were counted from the moment at which this process heard of the store again, up to 1.25 s after the store's return by its pauses between tries; a server that left in between was kept for too long.

Change: the 2 s run from the last failure, which is no later than the store's return or a call's timeout after it. The two tests that used StoreLost give it the time at which their outage ends, as its callers do. go test -run LeftBefore ./internal/fleet fails on the code before.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -23,7 +23,8 @@
 	servers map[string]Server
 	// missing holds until when a server is kept whose entry has vanished.
 	missing map[string]time.Time
-	// recovered is when the store answered again after its last outage.
+	// lost is when the store last failed to answer, recovered when it answered again.
+	lost      time.Time
 	recovered time.Time
 	away      bool
 	loaded    bool
@@ -58,7 +59,8 @@
 
 // Remove takes the entries of servers out. Those that vanished during an outage of the
 // store are kept until RegistrationGrace after its end, as their registrations may
-// only have lapsed.
+// only have lapsed. The end is taken to be the last failure: this process may hear of it
+// later, and until then a server that left doesn't differ from one whose entry lapsed.
 func (d *Directory) Remove(ids []string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -66,7 +68,7 @@
 	var keepUntil time.Time
 	switch {
 	case d.away || now.Sub(d.recovered) < lapseWindow:
-		keepUntil = now.Add(RegistrationGrace)
+		keepUntil = d.lost.Add(RegistrationGrace)
 	case d.massLapse(ids):
 		keepUntil = now.Add(RegistrationGrace)
 	}
@@ -110,11 +112,11 @@
 	return false
 }
 
-// StoreLost says that the store doesn't answer.
-func (d *Directory) StoreLost() {
+// StoreLost says that the store has not answered.
+func (d *Directory) StoreLost(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.away = true
+	d.away, d.lost = true, now
 }
 
 // StoreAnswered says that the store has answered a read of the whole list or of
--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -45,8 +45,8 @@
 func TestLapsedEntryIsKeptForTheGraceOnly(t *testing.T) {
 	c := qt.New(t)
 	d := directoryOf(4)
-	d.StoreLost()
 	back := start.Add(10 * time.Second)
+	d.StoreLost(back)
 	d.StoreAnswered(back)
 	d.Remove([]string{id(0), id(1)}, back.Add(time.Millisecond))
 	c.Assert(d.Usable(id(0), back.Add(time.Second)), qt.IsTrue)
@@ -56,13 +56,27 @@
 	c.Assert(d.Usable(id(1), late), qt.IsTrue)
 }
 
+// A process that hears late of the store's return kept a server that had left since then
+// for the whole grace, counted from when it heard.
+func TestServerThatLeftBeforeThisProcessIsBackIsGoneInTime(t *testing.T) {
+	c := qt.New(t)
+	d := directoryOf(4)
+	lastFailure := start.Add(10 * time.Second)
+	d.StoreLost(lastFailure)
+	back := lastFailure.Add(1200 * time.Millisecond)
+	d.Remove([]string{id(0)}, back)
+	d.StoreAnswered(back)
+	c.Assert(d.Usable(id(0), lastFailure.Add(fleet.RegistrationGrace-time.Millisecond)), qt.IsTrue)
+	c.Assert(d.Usable(id(0), lastFailure.Add(fleet.RegistrationGrace+time.Millisecond)), qt.IsFalse)
+}
+
 // A server that leaves soon after an outage, but not during it, is gone at once: its
 // entry was removed by itself, not by the outage.
 func TestServerThatLeavesAfterAnOutageIsGoneAtOnce(t *testing.T) {
 	c := qt.New(t)
 	d := directoryOf(4)
-	d.StoreLost()
 	back := start.Add(10 * time.Second)
+	d.StoreLost(back)
 	d.StoreAnswered(back)
 	left := back.Add(370 * time.Millisecond)
 	d.Remove([]string{id(0)}, left)
