--- a/internal/telemetry/writer.go
+++ b/internal/telemetry/writer.go
@@ -15,9 +15,9 @@
 	// logBuffer is the number of log lines that are kept when the output is slower than
 	// the process; older ones are dropped then.
 	logBuffer = 4096
-	// lastLinesWithin bounds the wait for the last lines at the end of a process: less than
-	// half of the time that roles keep between their last request and the kill.
-	lastLinesWithin = 200 * time.Millisecond
+	// lastLinesWithin bounds the wait for the last lines at the end of a process: a fifth of
+	// the time that roles keep between their last request and the kill.
+	lastLinesWithin = 100 * time.Millisecond
 )
 
 // NewProcessLogger returns the logger of a process as NewLogger does. Neither a line nor
