slots: ask a sidecar that has never answered only once

Cause: Client.submit retried on a new connection whenever its connection had closed before the ticket was queued. The retry is meant for a connection that worked and went idle, but it also served one that ended before any answer, so a sidecar that answers without end was read up to the limit twice. Change: retry only if the connection had delivered a message.

--- a/internal/slots/client.go
+++ b/internal/slots/client.go
@@ -89,8 +89,9 @@
 	}
 }
 
-// submit sends a request to a sidecar. If the connection was closed as idle in the meantime, it
-// retries once on a new one.
+// submit sends a request to a sidecar. If the connection had worked and was closed in the meantime,
+// it retries once on a new one. A sidecar whose connection ends before its first answer is not
+// asked again: nothing suggests that it would answer then.
 func (c *Client) submit(ctx context.Context, address string, request Request) (*clientConn, *ticket, error) {
 	for retried := false; ; retried = true {
 		conn, err := c.connect(ctx, address)
@@ -98,7 +99,7 @@
 			return nil, nil, err
 		}
 		t, err := conn.submit(request)
-		if err == nil || retried {
+		if err == nil || retried || !conn.hasAnswered() {
 			return conn, t, err
 		}
 	}
@@ -219,6 +220,8 @@
 	lastReceived time.Time
 	// lastSubmitted is when the last ticket was added.
 	lastSubmitted time.Time
+	// answered is set once the sidecar has sent a message.
+	answered bool
 }
 
 // ticket is a request's place in a sidecar's queue, and later its slot.
@@ -262,6 +265,12 @@
 	return t, nil
 }
 
+func (c *clientConn) hasAnswered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered
+}
+
 func (c *clientConn) remove(number uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -298,7 +307,7 @@
 			return errors.Wrap(err, "read")
 		}
 		c.mu.Lock()
-		c.lastReceived = time.Now()
+		c.lastReceived, c.answered = time.Now(), true
 		t := c.tickets[m.Ticket]
 		c.mu.Unlock()
 		if t == nil || m.Kind == kindPing {
