deputy: let one entry grant the slots of an engine whose sidecar is lost

Cause: an engine whose sidecar doesn't answer got two requests at a time from every entry, without a queue and without a view of the others; the rest were refused at once. With 18 entries the engines were crowded or idle by chance, tiers and deadlines didn't hold there, and each request found out again that the sidecar was silent, once a second and engine. Change: rendezvous hashing chooses a deputy among the entries, which grants the slots by the sidecars' protocol. It acts only after it has found the sidecar and all entries before it unreachable itself. Entries report the requests that they run under slots of others, so a new deputy subtracts them. slots.Client tracks lost addresses, checks them in the background and logs each loss and return once.

--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -16,6 +16,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
 	"github.com/lagoonlane/lagoonlane/internal/callerconn"
+	"github.com/lagoonlane/lagoonlane/internal/deputy"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/gateway"
 	"github.com/lagoonlane/lagoonlane/internal/lateness"
@@ -226,6 +227,7 @@
 	servers       *platform.ServerSource
 	roster        *roster.Roster
 	gateway       *gateway.Gateway
+	deputy        *deputy.Deputy
 	rollouts      *rollout.Controller
 	lateness      *lateness.Meter
 	upstream      *upstream.Client
@@ -273,11 +275,19 @@
 	})
 	sidecars := slots.NewClient(nil)
 	sidecars.Logger = n.limiter.Logger(n.logger, "slot connection")
+	sidecarAddress := gateway.SidecarAddress(strconv.Itoa(n.settings.InternalPort))
+	e.deputy = deputy.New(deputy.Options{
+		ID: n.settings.ID, Entries: e.roster.KnownEntries, Client: sidecars, Logger: n.logger, Limiter: n.limiter,
+		Sidecar: func(engine string) (string, bool) {
+			server, registered := e.directory.Server(engine)
+			return sidecarAddress(server), registered
+		},
+	})
 	e.gateway, err = gateway.New(gateway.Options{
 		DataCentre: n.settings.DataCentre, Codec: codec, Manifest: holder, Directory: e.directory,
 		Upstream: e.upstream, Slots: sidecars,
-		SidecarAddress: gateway.SidecarAddress(strconv.Itoa(n.settings.InternalPort)),
-		Rollouts:       e.rollouts, Lateness: e.lateness, Entries: e.roster.AliveEntries, Limits: pool,
+		SidecarAddress: sidecarAddress, DeputyAddress: e.deputy.Address,
+		Rollouts: e.rollouts, Lateness: e.lateness, Entries: e.roster.AliveEntries, Limits: pool,
 		Bounds: gateway.Bounds{
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
@@ -297,6 +307,7 @@
 	}
 	signals.attach(e.logger, e.reload)
 	e.roster.Register(e.internal)
+	e.deputy.Register(e.internal)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(background)
@@ -377,6 +388,7 @@
 func (e *entryNode) drain(ctx context.Context) {
 	drainTime := e.settings.Bounds.ShutdownGrace - exitMargin
 	e.gateway.BeginShutdown(drainTime)
+	e.deputy.Close()
 	acceptCtx, cancel := context.WithTimeout(ctx, max(drainTime-stopAcceptingBefore, 0))
 	defer cancel()
 	select {
--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -142,6 +142,15 @@
 	q.schedule(now)
 }
 
+// SetExternalRequests records the number of requests at the backend server that hold no slot of
+// this queue. They reduce the number of slots to grant.
+func (q *SlotQueue) SetExternalRequests(now time.Time, requests int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.externalRequests = max(requests, 0)
+	q.schedule(now)
+}
+
 // recentMax is the maximum of a count over the last one to two periods of reportLag.
 type recentMax struct {
 	windowStart       time.Time
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -154,6 +154,14 @@
 	return s.State == StateReady && (!missing || now.Before(until))
 }
 
+// Server returns the registration of an incarnation, and whether there is one.
+func (d *Directory) Server(id string) (Server, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	s, ok := d.servers[id]
+	return s, ok
+}
+
 // Ready returns the servers of a service that accept new requests.
 func (d *Directory) Ready(service string, now time.Time) []Server {
 	d.mu.RLock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,8 +30,8 @@
 	Retries      RetryBounds
 }
 
-// Options configures a Gateway. All fields except Rollouts, Lateness, MaxBufferedBytes, Meter,
-// Limiter and Requests are required.
+// Options configures a Gateway. All fields except DeputyAddress, Rollouts, Lateness,
+// MaxBufferedBytes, Meter, Limiter and Requests are required.
 type Options struct {
 	DataCentre string
 	Codec      Codec
@@ -41,6 +41,9 @@
 	Slots      *slots.Client
 	// SidecarAddress returns the address of the sidecar of a backend server, or "" if it has none.
 	SidecarAddress func(fleet.Server) string
+	// DeputyAddress returns the address of the entry that grants the slots of an engine with a lost
+	// sidecar, or "" if there is none. If nil, such engines get requests without slots only.
+	DeputyAddress func(engine string) string
 	// Rollouts limits versions on trial to their share of requests. If nil, no roll-outs are
 	// supported.
 	Rollouts *rollout.Controller
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	firstEvent metric.Float64Histogram
 	slotWait   metric.Float64Histogram
 	badBytes   metric.Int64Counter
+	placements metric.Int64Counter
 	duration   metric.Float64Histogram
 }
 
@@ -44,6 +45,9 @@
 	if m.badBytes, err = meter.Int64Counter("lagoonlane_gateway_bad_bytes", metric.WithDescription("exchanges with bytes of backend servers that are no answer or too many, by kind")); err != nil {
 		return nil, errors.WithStack(err)
 	}
+	if m.placements, err = meter.Int64Counter("lagoonlane_gateway_placements", metric.WithDescription("placements at engines by the process that granted the slot")); err != nil {
+		return nil, errors.WithStack(err)
+	}
 	for name, target := range map[string]*metric.Float64Histogram{
 		"lagoonlane_gateway_first_event": &m.firstEvent,
 		"lagoonlane_gateway_slot_wait":   &m.slotWait,
@@ -103,3 +107,9 @@
 func (m *metrics) recordSend(call *call, v verdict) {
 	m.sends.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", call.service), attribute.String("verdict", v.String())))
 }
+
+// recordPlacement counts a placement at an engine: by its sidecar, by a deputy, or "direct", without
+// a slot.
+func (m *metrics) recordPlacement(by string) {
+	m.placements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("by", by)))
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -68,7 +68,7 @@
 	// streamStarted says that the caller has received the first events. The objective, which
 	// applies to the first event, no longer limits the wait.
 	streamStarted bool
-	// requireSlot excludes engines whose sidecar is silent, as no slot can be reserved there.
+	// requireSlot excludes engines for which no process grants slots.
 	requireSlot bool
 }
 
@@ -111,7 +111,7 @@
 // waitForSlot queues a call at the sidecar of the best candidate and, while it waits, at further
 // ones. It uses the first slot that is granted.
 func (g *Gateway) waitForSlot(ctx context.Context, call *call, list []fleet.Server, options placementOptions) (*placement, *Failure) {
-	t := &ticketSet{gateway: g, call: call, options: options, results: make(chan ticketResult, len(list)), candidates: g.servers.candidates(list, call, time.Now())}
+	t := &ticketSet{gateway: g, call: call, options: options, results: make(chan ticketResult, len(list)), candidates: g.servers.candidates(list, call, time.Now(), g.sidecarLost)}
 	t.maxOpen, t.maxTotal = maxOpenTickets, maxTotalTickets
 	if g.schedulingDelay() > reducedTicketsDelay {
 		t.maxOpen, t.maxTotal = reducedOpenTickets, reducedTotalTickets
@@ -143,14 +143,14 @@
 	}
 }
 
-// submitNext submits a ticket to the next candidate. An engine whose sidecar is silent gets the
-// request without a slot, up to maxDirectRequests; submitNext then returns that placement.
+// submitNext submits a ticket to the next candidate. An engine for which no process grants slots gets
+// the request without a slot, up to maxDirectRequests; submitNext then returns that placement.
 func (t *ticketSet) submitNext() *placement {
 	for len(t.candidates) > 0 && t.open < t.maxOpen && t.total < t.maxTotal {
 		next := t.candidates[0]
 		t.candidates = t.candidates[1:]
-		address := t.gateway.options.SidecarAddress(next.server)
-		if next.sidecarSilent || address == "" {
+		endpoint, ok := t.gateway.slotEndpoint(next.server)
+		if !ok || next.noSlots {
 			if t.options.requireSlot || t.open > 0 || !t.gateway.servers.acquireDirect(next.server.ID) {
 				continue
 			}
@@ -158,20 +158,44 @@
 		}
 		t.open++
 		t.total++
-		go t.submit(next.server, address)
+		go t.submit(next.server, endpoint)
 		return nil
 	}
 	return nil
 }
 
+// slotEndpoint returns where the slots of an engine are granted: at its sidecar or, if that is lost,
+// at its deputy. It reports false if there is neither.
+func (g *Gateway) slotEndpoint(server fleet.Server) (slots.Endpoint, bool) {
+	if !g.sidecarLost(server) {
+		return slots.Endpoint{Address: g.options.SidecarAddress(server), Engine: server.ID}, true
+	}
+	if g.options.DeputyAddress == nil {
+		return slots.Endpoint{}, false
+	}
+	address := g.options.DeputyAddress(server.ID)
+	return slots.Endpoint{Address: address, Engine: server.ID, Deputy: true}, address != ""
+}
+
+// sidecarLost reports whether an engine has no sidecar or one that doesn't answer.
+func (g *Gateway) sidecarLost(server fleet.Server) bool {
+	address := g.options.SidecarAddress(server)
+	return address == "" || g.options.Slots.Lost(address)
+}
+
 func (t *ticketSet) placeDirect(server fleet.Server) *placement {
 	t.gateway.logger.Info().Str("request_id", t.call.info.ID).Str("backend_server", server.ID).Str("outcome", "direct").Msg("placement")
-	return &placement{server: server, release: func(admission.Outcome) { t.gateway.servers.releaseDirect(server.ID) }}
+	t.gateway.metrics.recordPlacement("direct")
+	end := t.gateway.options.Slots.BeginDirect(server.ID)
+	return &placement{server: server, release: func(admission.Outcome) {
+		end()
+		t.gateway.servers.releaseDirect(server.ID)
+	}}
 }
 
-func (t *ticketSet) submit(server fleet.Server, address string) {
+func (t *ticketSet) submit(server fleet.Server, endpoint slots.Endpoint) {
 	call := t.call
-	lease, err := t.gateway.options.Slots.Acquire(t.ctx, address, slots.Request{
+	lease, err := t.gateway.options.Slots.Acquire(t.ctx, endpoint, slots.Request{
 		RequestID:     call.info.ID,
 		Account:       call.accountName(),
 		Rank:          uint32(max(call.rank(), 0)),
@@ -195,6 +219,9 @@
 	var refused *slots.RefusedError
 	var unreachable *slots.UnreachableError
 	switch {
+	case errors.As(result.err, &refused) && refused.Reason == slots.ReasonNotResponsible:
+		t.candidates = append(t.candidates, candidate{server: result.server, noSlots: true})
+		return nil
 	case errors.As(result.err, &refused):
 		t.gateway.servers.recordSlotLoad(result.server.ID, refused.Load)
 		t.refusalReason = refused.Reason
@@ -207,9 +234,8 @@
 		}
 		return nil
 	case errors.As(result.err, &unreachable):
-		t.gateway.servers.recordSidecarSilent(result.server.ID)
-		t.gateway.limitedLogger.Warn().Str("request_id", t.call.info.ID).Str("backend_server", result.server.ID).Err(result.err).Msg("the sidecar did not answer")
-		t.candidates = append(t.candidates, candidate{server: result.server, sidecarSilent: true})
+		t.gateway.limitedLogger.Info().Str("request_id", t.call.info.ID).Str("backend_server", result.server.ID).Err(result.err).Str("outcome", "unreachable").Msg("slot")
+		t.candidates = append(t.candidates, candidate{server: result.server})
 		return nil
 	case result.err != nil:
 		// The request has ended; its log line states the reason.
@@ -221,6 +247,7 @@
 		return nil
 	}
 	t.gateway.servers.recordSlotLoad(result.server.ID, result.lease.Load)
+	t.gateway.metrics.recordPlacement(result.lease.GrantedBy())
 	return t.gateway.leasedPlacement(result.server, result.lease)
 }
 
@@ -256,12 +283,12 @@
 }
 
 // sortCandidates puts the engine that prefix affinity selects for a prompt first if it has a free
-// slot, then engines with a free slot, then the others, and engines with a silent sidecar last.
+// slot, then engines with a free slot, then the others, and silent engines last.
 // Within a class it sorts by expected wait.
 func sortCandidates(all []candidate, affinityServerID string) {
 	class := func(c candidate) int {
 		switch {
-		case c.sidecarSilent:
+		case c.silent:
 			return 3
 		case c.server.ID == affinityServerID && c.slotFree:
 			return 0
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -6,10 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/lagoonlane/lagoonlane/internal/admission"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/rendezvous"
 )
 
 const (
@@ -26,14 +25,15 @@
 	failingBackoff = time.Second
 	// maxFailureRate is the fraction of failed requests above which a backend server is avoided.
 	maxFailureRate = 0.3
-	// sidecarSilentBackoff is how long no tickets are submitted to a sidecar that did not
-	// answer.
-	sidecarSilentBackoff = time.Second
 	// slotLoadMaxAge is how long the load reported by a sidecar is used without an update.
 	slotLoadMaxAge = 300 * time.Millisecond
 	// serverLoadMaxAge is how long the load reported in a backend server's answers is used.
 	serverLoadMaxAge = 200 * time.Millisecond
-	// maxDirectRequests limits the requests of this entry at an engine whose sidecar is silent.
+	// engineSilentAfter is how long after its last slot load an engine with a lost sidecar counts as
+	// silent too.
+	engineSilentAfter = time.Second
+	// maxDirectRequests limits the requests of this entry at an engine for which neither a sidecar
+	// nor a deputy grants slots.
 	maxDirectRequests = 2
 	// remoteDataCentrePenalty, in seconds, is added to the expected wait of engines in other
 	// data centres, because traffic between data centres costs money.
@@ -62,7 +62,6 @@
 	// was reported. A grant reports a new load, so only releases change it.
 	leasedSinceLoad int
 	directRequests  int
-	sidecarSilentAt time.Time
 	lastUsed        time.Time
 }
 
@@ -243,14 +242,8 @@
 	t.get(id).leasedSinceLoad += change
 }
 
-func (t *serverTable) recordSidecarSilent(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.get(id).sidecarSilentAt = time.Now()
-}
-
-// acquireDirect counts a request that is sent to an engine despite its silent sidecar. It
-// returns false if maxDirectRequests is reached.
+// acquireDirect counts a request that is sent to an engine without a slot. It returns false if
+// maxDirectRequests is reached.
 func (t *serverTable) acquireDirect(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -275,13 +268,16 @@
 	wait float64
 	// slotFree says that the engine is estimated to have a free slot.
 	slotFree bool
-	// sidecarSilent says that the sidecar recently failed to answer.
-	sidecarSilent bool
+	// silent says that neither the engine's sidecar nor a deputy has reported its load recently.
+	silent bool
+	// noSlots says that no process grants slots of the engine.
+	noSlots bool
 }
 
 // candidates returns the engines for a request, best first. With prefix affinity, the engine
-// that probably has the request's prompt cached comes first if it has a free slot.
-func (t *serverTable) candidates(list []fleet.Server, call *call, now time.Time) []candidate {
+// that probably has the request's prompt cached comes first if it has a free slot. sidecarLost
+// reports whether the sidecar of an engine doesn't answer.
+func (t *serverTable) candidates(list []fleet.Server, call *call, now time.Time, sidecarLost func(fleet.Server) bool) []candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	affinityServerID, highestScore := "", math.Inf(-1)
@@ -289,13 +285,13 @@
 	all := make([]candidate, 0, len(list))
 	for _, server := range list {
 		s := t.get(server.ID)
-		c := candidate{server: server, sidecarSilent: now.Sub(s.sidecarSilentAt) < sidecarSilentBackoff}
+		c := candidate{server: server, silent: now.Sub(s.slotLoadAt) > engineSilentAfter && sidecarLost(server)}
 		c.wait, c.slotFree = s.firstEventTime(server, call, now)
 		if server.DataCentre != t.dataCentre {
 			c.wait += remoteDataCentrePenalty
 		}
 		if affinity != "" {
-			if score := rendezvous(affinity, server.ID, s.speed()); score > highestScore {
+			if score := rendezvous.Score(affinity, server.ID, s.speed()); score > highestScore {
 				affinityServerID, highestScore = server.ID, score
 			}
 		}
@@ -360,11 +356,3 @@
 	}
 	return shared[len(shared)-1].ID
 }
-
-// rendezvous returns the rendezvous-hashing score of a server for a key. All entries rank
-// servers equally, and each server ranks first for a fraction of keys proportional to its
-// weight.
-func rendezvous(key, server string, weight float64) float64 {
-	unit := (float64(xxhash.Sum64String(key+"\x00"+server)>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(unit)
-}
--- a/internal/roster/membership.go
+++ b/internal/roster/membership.go
@@ -29,3 +29,26 @@
 	membership.Entries, membership.HasQuorum = total, 2*alive > total
 	return membership
 }
+
+// Entry is a process of the roster.
+type Entry struct {
+	ID string
+	// Address is the address for other processes.
+	Address string
+}
+
+// KnownEntries returns this entry and all others that have reported recently or haven't been called
+// yet.
+func (r *Roster) KnownEntries() []Entry {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := make([]Entry, 0, len(r.members)+1)
+	known = append(known, Entry{ID: r.options.ID, Address: r.options.Address})
+	for _, m := range r.members {
+		if untried := m.reportedAt.IsZero() && !m.failed; untried || now.Sub(m.reportedAt) < knownTimeout {
+			known = append(known, Entry{ID: m.id, Address: m.address})
+		}
+	}
+	return known
+}
--- a/internal/slots/bench_test.go
+++ b/internal/slots/bench_test.go
@@ -12,7 +12,7 @@
 	s := newTestSidecar(b)
 	b.ReportAllocs()
 	for b.Loop() {
-		lease, err := s.client.Acquire(b.Context(), s.address, slotRequest("a"), nil)
+		lease, err := s.client.Acquire(b.Context(), sidecarAt(s.address), slotRequest("a"), nil)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -23,7 +23,7 @@
 // BenchmarkWithdrawn queues for an occupied slot and withdraws.
 func BenchmarkWithdrawn(b *testing.B) {
 	s := newTestSidecar(b)
-	lease, err := s.client.Acquire(b.Context(), s.address, slotRequest("a"), nil)
+	lease, err := s.client.Acquire(b.Context(), sidecarAt(s.address), slotRequest("a"), nil)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -31,7 +31,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		ctx, cancel := context.WithCancel(b.Context())
-		if _, err := s.client.Acquire(ctx, s.address, slotRequest("b"), func(admission.SlotLoad) { cancel() }); err == nil {
+		if _, err := s.client.Acquire(ctx, sidecarAt(s.address), slotRequest("b"), func(admission.SlotLoad) { cancel() }); err == nil {
 			b.Fatal("granted")
 		}
 	}
--- a/internal/slots/endless_test.go
+++ b/internal/slots/endless_test.go
@@ -44,7 +44,7 @@
 				client := slots.NewClient(server.Dial)
 				defer client.Close()
 				began := time.Now()
-				_, err := client.Acquire(t.Context(), "sidecar", slotRequest("a"), nil)
+				_, err := client.Acquire(t.Context(), sidecarAt("sidecar"), slotRequest("a"), nil)
 				var unreachable *slots.UnreachableError
 				c.Assert(errors.As(err, &unreachable), qt.IsTrue, qt.Commentf("%v", err))
 				c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
@@ -83,7 +83,7 @@
 func TestLongRequestIDIsAccepted(t *testing.T) {
 	c := qt.New(t)
 	s := newTestSidecar(t)
-	lease, err := s.client.Acquire(t.Context(), s.address, slotRequest(strings.Repeat("<", 64<<10)), nil)
+	lease, err := s.client.Acquire(t.Context(), sidecarAt(s.address), slotRequest(strings.Repeat("<", 64<<10)), nil)
 	c.Assert(err, qt.IsNil)
 	lease.Abandon()
 }
--- a/internal/slots/message.go
+++ b/internal/slots/message.go
@@ -2,7 +2,7 @@
 // grants slots in the order of its queue, and an entry holds a slot for the duration of its
 // call. An entry and a sidecar share one connection for all tickets. Slots are bound to that
 // connection, so they are freed when it ends. The request itself goes directly from the entry to
-// the engine.
+// the engine. If the sidecar is lost, a deputy grants the slots of its engine by the same protocol.
 package slots
 
 import (
@@ -37,6 +37,9 @@
 	maxOutgoingMessages = 4096
 )
 
+// ReasonNotResponsible is the reason of a refusal by an entry that isn't the engine's deputy.
+const ReasonNotResponsible = "not responsible for the engine"
+
 // Request describes a request for a slot.
 type Request struct {
 	RequestID string `json:"request_id"`
@@ -83,6 +86,9 @@
 	Ticket uint64 `json:"ticket,omitempty"`
 	// Request is set with kindRequest.
 	Request *Request `json:"ask,omitempty"`
+	// Unaccounted is set with kindRequest and kindPing: the number of requests that the entry runs at
+	// the engine without a slot granted over this connection.
+	Unaccounted int `json:"unaccounted,omitempty"`
 	// Result is set with kindFinish.
 	Result *result `json:"result,omitempty"`
 	// Load is the state of the sidecar's queue; it is set in its answers.
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -24,6 +24,9 @@
 	// maxProbeFailures is the number of consecutive failed probes after which the engine is
 	// considered down.
 	maxProbeFailures = 2
+	// unaccountedMaxAge is how long an entry's number of unaccounted requests is used without an
+	// update. Entries with tickets send one with every ping.
+	unaccountedMaxAge = 3 * pingInterval
 	// queueTickInterval is the time between checks for expired tickets in the queue.
 	queueTickInterval = 20 * time.Millisecond
 )
@@ -41,8 +44,13 @@
 
 // ServerOptions configures a Server.
 type ServerOptions struct {
-	Queue  *admission.SlotQueue
-	Probe  Probe
+	Queue *admission.SlotQueue
+	// Probe may be nil if there is no way to ask the engine often. The requests at the engine that
+	// hold no slot of the queue are then estimated from what the entries report.
+	Probe Probe
+	// Refuse returns why this process currently grants no slots of the engine, or "". It may be
+	// nil.
+	Refuse func() string
 	Logger zerolog.Logger
 	// Limiter limits the rate of log lines about connections; may be nil.
 	Limiter *telemetry.Limiter
@@ -52,18 +60,23 @@
 type Server struct {
 	queue  *admission.SlotQueue
 	probe  Probe
+	refuse func() string
 	logger zerolog.Logger
 	// limitedLogger is the rate-limited logger for lines that a fault can repeat.
 	limitedLogger zerolog.Logger
 
 	mu            sync.Mutex
 	probeFailures int
+	// conns holds the connections of entries.
+	conns map[*serverConn]struct{}
+	// closed is set by Close.
+	closed bool
 }
 
 // NewServer returns a server that initially assumes that its engine is healthy.
 func NewServer(options ServerOptions) *Server {
 	return &Server{
-		queue: options.Queue, probe: options.Probe, logger: options.Logger,
+		queue: options.Queue, probe: options.Probe, refuse: options.Refuse, logger: options.Logger, conns: map[*serverConn]struct{}{},
 		limitedLogger: options.Limiter.Logger(options.Logger, "slot connection"),
 	}
 }
@@ -79,12 +92,39 @@
 			return ctx.Err()
 		case now := <-tick.C:
 			s.queue.Tick(now)
-		case <-probe.C:
-			s.probeEngine(ctx)
+		case now := <-probe.C:
+			s.updateEngineState(ctx, now)
 		}
 	}
 }
 
+func (s *Server) updateEngineState(ctx context.Context, now time.Time) {
+	if s.probe != nil {
+		s.probeEngine(ctx)
+	}
+	s.applyUnaccounted(now)
+}
+
+// applyUnaccounted updates the queue with the requests that hold no slot of it, if the engine can't
+// be asked for them.
+func (s *Server) applyUnaccounted(now time.Time) {
+	if s.probe == nil {
+		s.queue.SetExternalRequests(now, s.unaccounted(now))
+	}
+}
+
+// unaccounted returns the number of requests that run at the engine without a slot of the queue,
+// as reported by the connected entries.
+func (s *Server) unaccounted(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for conn := range s.conns {
+		total += conn.unaccountedRequests(now)
+	}
+	return total
+}
+
 // probeEngine updates the queue with the engine's own state, and refuses all tickets if the
 // engine is down.
 func (s *Server) probeEngine(ctx context.Context) {
@@ -110,10 +150,19 @@
 	s.queue.SetReportedRequests(now, state.Running+state.Waiting)
 }
 
-func (s *Server) healthy() bool {
+// refusalReason returns why no slots are granted at present, or "".
+func (s *Server) refusalReason() string {
+	if s.refuse != nil {
+		if reason := s.refuse(); reason != "" {
+			return reason
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.probeFailures < maxProbeFailures
+	if s.probeFailures >= maxProbeFailures {
+		return admission.ReasonUnhealthy.String()
+	}
+	return ""
 }
 
 // ServeHTTP takes over the connection of an entry and handles its tickets. The slots of the
@@ -135,10 +184,49 @@
 		return
 	}
 	entry := &serverConn{server: s, conn: newMessageConn(conn, buffered.Reader), tickets: map[uint64]serverTicket{}}
+	if !s.addConn(entry) {
+		entry.conn.close(errors.WithStack(&ClosedError{}))
+		return
+	}
 	entry.logLost(r.RemoteAddr, entry.readLoop())
+	s.removeConn(entry)
 	entry.withdrawAll()
 }
 
+// addConn reports false if the server is closed.
+func (s *Server) addConn(conn *serverConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.conns[conn] = struct{}{}
+	}
+	return !s.closed
+}
+
+func (s *Server) removeConn(conn *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close closes the connections of all entries, and later ones at once. Granted slots are freed;
+// their requests continue at the engine.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.conns {
+		conn.conn.close(errors.WithStack(&ClosedError{}))
+	}
+}
+
+// Connections returns the number of connected entries.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // acceptUpgrade sends the answer to an upgrade.
 func acceptUpgrade(conn net.Conn, w *bufio.Writer) error {
 	if err := conn.SetDeadline(time.Time{}); err != nil {
@@ -159,6 +247,24 @@
 	mu sync.Mutex
 	// tickets holds the tickets that wait or hold a slot, by number.
 	tickets map[uint64]serverTicket
+	// unaccounted is the entry's last report of message.Unaccounted.
+	unaccounted   int
+	unaccountedAt time.Time
+}
+
+func (c *serverConn) recordUnaccounted(now time.Time, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unaccounted, c.unaccountedAt = n, now
+}
+
+func (c *serverConn) unaccountedRequests(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.unaccountedAt) > unaccountedMaxAge {
+		return 0
+	}
+	return c.unaccounted
 }
 
 // serverTicket is a request's place in the queue, and later its slot.
@@ -245,8 +351,10 @@
 	now := time.Now()
 	switch {
 	case m.Kind == kindPing:
+		c.recordUnaccounted(now, m.Unaccounted)
 		c.conn.send(m)
 	case m.Kind == kindRequest && m.Request != nil:
+		c.recordUnaccounted(now, m.Unaccounted)
 		c.submit(now, m.Ticket, m.Request)
 	case m.Kind == kindFinish && m.Result != nil:
 		if ticket := c.remove(m.Ticket); ticket != nil {
@@ -263,12 +371,13 @@
 // can distinguish a full queue from a dead sidecar.
 func (c *serverConn) submit(now time.Time, number uint64, request *Request) {
 	s := c.server
-	if !s.healthy() {
+	if reason := s.refusalReason(); reason != "" {
 		load := s.queue.Load()
-		s.logTicket(request, admission.ReasonUnhealthy.String(), load, 0)
-		c.conn.send(&message{Kind: kindRefused, Ticket: number, Reason: admission.ReasonUnhealthy.String(), Load: &load})
+		s.logTicket(request, reason, load, 0)
+		c.conn.send(&message{Kind: kindRefused, Ticket: number, Reason: reason, Load: &load})
 		return
 	}
+	s.applyUnaccounted(now)
 	s.queue.SetCapacity(now, request.Slots, request.MemoryTokens)
 	ticket := s.queue.Submit(now, request.admissionRequest(now))
 	c.add(number, serverTicket{requestID: request.RequestID, slot: ticket})
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -96,12 +96,12 @@
 func TestWithdrawnTicketLeavesTheQueue(t *testing.T) {
 	c := qt.New(t)
 	s := newTestSidecar(t)
-	lease, err := s.client.Acquire(t.Context(), s.address, slotRequest("a"), nil)
+	lease, err := s.client.Acquire(t.Context(), sidecarAt(s.address), slotRequest("a"), nil)
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(t.Context())
 	queued, ended := make(chan struct{}), make(chan error, 1)
 	go func() {
-		_, err := s.client.Acquire(ctx, s.address, slotRequest("b"), func(admission.SlotLoad) { close(queued) })
+		_, err := s.client.Acquire(ctx, sidecarAt(s.address), slotRequest("b"), func(admission.SlotLoad) { close(queued) })
 		ended <- err
 	}()
 	<-queued
@@ -115,7 +115,7 @@
 func TestAbandonedLeaseFreesItsSlot(t *testing.T) {
 	c := qt.New(t)
 	s := newTestSidecar(t)
-	lease, err := s.client.Acquire(t.Context(), s.address, slotRequest("a"), nil)
+	lease, err := s.client.Acquire(t.Context(), sidecarAt(s.address), slotRequest("a"), nil)
 	c.Assert(err, qt.IsNil)
 	c.Assert(s.queue.Load().Running, qt.Equals, 1)
 	lease.Abandon()
@@ -125,7 +125,7 @@
 func TestSilentSidecarIsUnreachable(t *testing.T) {
 	c := qt.New(t)
 	s := newTestSidecar(t)
-	_, err := s.client.Acquire(t.Context(), "127.0.0.1:1", slotRequest("a"), nil)
+	_, err := s.client.Acquire(t.Context(), sidecarAt("127.0.0.1:1"), slotRequest("a"), nil)
 	var unreachable *slots.UnreachableError
 	c.Assert(errors.As(err, &unreachable), qt.IsTrue)
 }
@@ -134,11 +134,11 @@
 func TestClosedConnectionFreesItsSlots(t *testing.T) {
 	c := qt.New(t)
 	s := newTestSidecar(t)
-	_, err := s.client.Acquire(t.Context(), s.address, slotRequest("a"), nil)
+	_, err := s.client.Acquire(t.Context(), sidecarAt(s.address), slotRequest("a"), nil)
 	c.Assert(err, qt.IsNil)
 	queued, ended := make(chan struct{}), make(chan error, 1)
 	go func() {
-		_, err := s.client.Acquire(t.Context(), s.address, slotRequest("b"), func(admission.SlotLoad) { close(queued) })
+		_, err := s.client.Acquire(t.Context(), sidecarAt(s.address), slotRequest("b"), func(admission.SlotLoad) { close(queued) })
 		ended <- err
 	}()
 	<-queued
@@ -149,7 +149,7 @@
 		load := s.queue.Load()
 		return load.Running == 0 && load.Waiting[0] == 0
 	})
-	_, err = s.client.Acquire(t.Context(), s.address, slotRequest("c"), nil)
+	_, err = s.client.Acquire(t.Context(), sidecarAt(s.address), slotRequest("c"), nil)
 	c.Assert(err, qt.IsNil)
 }
 
@@ -158,11 +158,11 @@
 func TestLostConnectionLogsItsRequests(t *testing.T) {
 	c := qt.New(t)
 	s := newTestSidecar(t)
-	_, err := s.client.Acquire(t.Context(), s.address, slotRequest("holds"), nil)
+	_, err := s.client.Acquire(t.Context(), sidecarAt(s.address), slotRequest("holds"), nil)
 	c.Assert(err, qt.IsNil)
 	queued, ended := make(chan struct{}), make(chan error, 1)
 	go func() {
-		_, err := s.client.Acquire(t.Context(), s.address, slotRequest("waits"), func(admission.SlotLoad) { close(queued) })
+		_, err := s.client.Acquire(t.Context(), sidecarAt(s.address), slotRequest("waits"), func(admission.SlotLoad) { close(queued) })
 		ended <- err
 	}()
 	<-queued
@@ -206,7 +206,7 @@
 	client := slots.NewClient(nil)
 	defer client.Close()
 	began := time.Now()
-	_, err = client.Acquire(t.Context(), listener.Addr().String(), slotRequest("a"), nil)
+	_, err = client.Acquire(t.Context(), sidecarAt(listener.Addr().String()), slotRequest("a"), nil)
 	var unreachable *slots.UnreachableError
 	c.Assert(errors.As(err, &unreachable), qt.IsTrue)
 	c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
@@ -225,7 +225,7 @@
 	var wg sync.WaitGroup
 	for i := range 100 {
 		wg.Go(func() {
-			lease, err := client.Acquire(t.Context(), s.address, slotRequest(fmt.Sprint("r", i)), nil)
+			lease, err := client.Acquire(t.Context(), sidecarAt(s.address), slotRequest(fmt.Sprint("r", i)), nil)
 			if c.Check(err, qt.IsNil) {
 				lease.Finish(admission.Outcome{Sent: true})
 			}
@@ -256,3 +256,8 @@
 		return nil
 	}
 }
+
+// sidecarAt returns the endpoint of the sidecar at an address.
+func sidecarAt(address string) slots.Endpoint {
+	return slots.Endpoint{Address: address, Engine: "engine"}
+}
