admission: refuse at submission what a backlogged tier's drain rate can't serve in time

Cause: under overload a queue accepted every ticket whose wait it couldn't rule out, assuming that a request gets most of its slots elsewhere. Tickets that had missed their objective were kept for up to another objective although those that could still meet theirs always went first. Change: while a tier is backlogged (its oldest ticket waits 100 ms or more), a new ticket is accepted only if the tier's recent rate of grants serves all those waiting within its objective; a ticket that misses its objective then is refused at once. A request below the highest tier asks no further sidecars after four refusals; one more that accepts only overestimates its prospects.

--- /dev/null
+++ b/internal/admission/drain.go
@@ -0,0 +1,86 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// drainTimeConstant is the time constant of the rate at which a tier's tickets get slots.
+	drainTimeConstant = time.Second
+	// backlogAge is the waiting time of a tier's oldest ticket above which the tier is backlogged.
+	// Below it, tickets get slots as fast as they arrive, so their rate says nothing about
+	// capacity.
+	backlogAge = 100 * time.Millisecond
+)
+
+// drainRate is the exponentially decaying rate at which the tickets of a tier get a slot.
+type drainRate struct {
+	// count is the number of tickets, decayed up to updated.
+	count   float64
+	updated time.Time
+}
+
+func (d *drainRate) add(now time.Time) {
+	d.count = d.decayed(now) + 1
+	d.updated = now
+}
+
+func (d *drainRate) decayed(now time.Time) float64 {
+	if d.updated.IsZero() {
+		return 0
+	}
+	return d.count * math.Exp(-now.Sub(d.updated).Seconds()/drainTimeConstant.Seconds())
+}
+
+// perSecond returns the rate in tickets per second.
+func (d *drainRate) perSecond(now time.Time) float64 {
+	return d.decayed(now) / drainTimeConstant.Seconds()
+}
+
+// backlog returns the number of waiting tickets of a tier that can still meet their objective, and
+// whether the tier is backlogged.
+func (q *SlotQueue) backlog(now time.Time, rank uint32) (waiting int, backlogged bool) {
+	for _, t := range q.waiting {
+		if t.request.Rank != rank || !q.meetsObjective(now, t) {
+			continue
+		}
+		waiting++
+		backlogged = backlogged || now.Sub(t.queued) >= backlogAge
+	}
+	return waiting, backlogged
+}
+
+// expectsTimelySlot reports whether a new ticket of a backlogged tier is likely to get a slot before
+// its objective is missed, at the rate at which tickets of its tier have got one recently.
+func (q *SlotQueue) expectsTimelySlot(now time.Time, t *SlotTicket) bool {
+	if t.request.Objective.IsZero() || !q.meetsObjective(now, t) {
+		return true
+	}
+	waiting, backlogged := q.backlog(now, t.request.Rank)
+	if !backlogged {
+		return true
+	}
+	left := t.request.Objective.Sub(now) - q.expectedFirstToken(t)
+	return float64(waiting+1) <= q.drainPerSecond(now, t.request.Rank)*left.Seconds()
+}
+
+// drainPerSecond returns the rate at which tickets of a tier can be expected to get slots: its own
+// recent rate, and that of lower tiers but for the slots reserved for them.
+func (q *SlotQueue) drainPerSecond(now time.Time, rank uint32) float64 {
+	lower := 0.0
+	for other := rank + 1; other <= MaxRank; other++ {
+		lower += q.granted[other].perSecond(now)
+	}
+	return q.granted[rank].perSecond(now) + (1-reservedSlotShare)*lower
+}
+
+// isOvertaken reports whether a ticket that has missed its objective has no prospect of a slot,
+// because tickets of its tier that can meet theirs go first and are backlogged.
+func (q *SlotQueue) isOvertaken(now time.Time, t *SlotTicket) bool {
+	if t.request.Objective.IsZero() || q.meetsObjective(now, t) {
+		return false
+	}
+	_, backlogged := q.backlog(now, t.request.Rank)
+	return backlogged
+}
--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -39,13 +39,16 @@
 // A request that cannot get a slot in time is refused immediately. SlotQueue is safe for
 // concurrent use.
 type SlotQueue struct {
-	mu               sync.Mutex
-	options          SlotOptions
-	waiting          []*SlotTicket
-	running          map[*SlotTicket]struct{}
-	runningTokens    int
-	runningByRank    [MaxRank + 1]int
-	occupancy        [MaxRank + 1]occupancy
+	mu            sync.Mutex
+	options       SlotOptions
+	waiting       []*SlotTicket
+	running       map[*SlotTicket]struct{}
+	runningTokens int
+	runningByRank [MaxRank + 1]int
+	occupancy     [MaxRank + 1]occupancy
+	// drain counts the tickets that got a slot here or in another queue, granted those that got one
+	// here.
+	drain, granted   [MaxRank + 1]drainRate
 	externalRequests int
 	// recentRunning is the largest recent number of running requests, over at least reportLag.
 	recentRunning recentMax
@@ -179,7 +182,7 @@
 		q.refuse(now, t, ReasonDraining)
 	case len(q.waiting) >= maxWaiting:
 		q.refuse(now, t, ReasonShed)
-	case !q.likelyInTime(now, t):
+	case !q.likelyInTime(now, t), !q.expectsTimelySlot(now, t):
 		q.refuse(now, t, ReasonDeadline)
 	default:
 		t.state = stateQueued
@@ -305,7 +308,7 @@
 }
 
 func (q *SlotQueue) expired(now time.Time, t *SlotTicket) bool {
-	return !now.Add(q.expectedFirstToken(t)).Before(q.latestFirstToken(t)) || q.exceedsOverloadWait(now, t)
+	return !now.Add(q.expectedFirstToken(t)).Before(q.latestFirstToken(t)) || q.exceedsOverloadWait(now, t) || q.isOvertaken(now, t)
 }
 
 func (t *SlotTicket) tokens() int {
@@ -314,6 +317,7 @@
 
 func (q *SlotQueue) grant(now time.Time, t *SlotTicket) {
 	q.remove(t)
+	q.granted[t.request.Rank].add(now)
 	t.state = stateRunning
 	t.started = now
 	q.running[t] = struct{}{}
--- a/internal/admission/slotqueue_load_test.go
+++ b/internal/admission/slotqueue_load_test.go
@@ -57,7 +57,14 @@
 
 // result counts the requests of a class. paused counts the requests that were late only because
 // of a pause.
-type result struct{ submitted, onTime, late, refused, paused int }
+type result struct {
+	submitted, onTime, late, refused, paused int
+	// refusedAfter is the total time that refused requests were held.
+	refusedAfter time.Duration
+}
+
+// meanHold returns the mean time that refused requests were held.
+func (r result) meanHold() time.Duration { return r.refusedAfter / time.Duration(max(r.refused, 1)) }
 
 func (r result) share() float64 { return float64(r.onTime) / float64(max(r.submitted, 1)) }
 
@@ -199,6 +206,7 @@
 		if r.openTickets--; r.openTickets == 0 && !r.done {
 			r.done = true
 			s.results[r.class].refused++
+			s.results[r.class].refusedAfter += s.now.Sub(r.arrived)
 		}
 	case r.done:
 		s.queues[e].Withdraw(s.now, ticket)
--- a/internal/gateway/engine_test.go
+++ b/internal/gateway/engine_test.go
@@ -80,6 +80,7 @@
 	queue   *admission.SlotQueue
 	sidecar *pipeListener
 	front   *pipeListener
+	log     *logLines
 	sends   atomic.Int64
 	// disconnected is closed when the connection of the first send ends.
 	disconnected chan struct{}
@@ -140,6 +141,9 @@
 		Name: "resumable", Host: "a", PathPrefix: "/", Kind: fleet.KindStreaming, Resumable: true, Timeout: 6 * time.Second,
 		Objective: 500 * time.Millisecond, MaxEventGap: 250 * time.Millisecond, MaxServers: 2,
 		Shares: []fleet.Share{{Service: "model", Weight: 1}},
+	}, {
+		Name: "low", Host: "low", PathPrefix: "/", Kind: fleet.KindStreaming, Rank: 1, Timeout: 6 * time.Second,
+		Objective: 500 * time.Millisecond, MaxServers: 1, Shares: []fleet.Share{{Service: "model", Weight: 1}},
 	}}, []*fleet.Service{{Name: "model", Engine: &fleet.Engine{Slots: engineSlots}}}, nil, fleet.ClientLimits{})
 	w.c.Assert(err, qt.IsNil)
 	holder := &fleet.Holder{}
@@ -151,12 +155,12 @@
 func newEngine(t *testing.T, s connHandler) *testEngine {
 	e := &testEngine{
 		queue:   admission.NewSlotQueue(admission.SlotOptions{Slots: engineSlots}),
-		sidecar: newPipeListener(), front: newPipeListener(), disconnected: make(chan struct{}),
+		sidecar: newPipeListener(), front: newPipeListener(), log: &logLines{}, disconnected: make(chan struct{}),
 	}
 	server := slots.NewServer(slots.ServerOptions{
 		Queue:  e.queue,
 		Probe:  func(context.Context) (slots.EngineState, error) { return slots.EngineState{}, nil },
-		Logger: zerolog.Nop(),
+		Logger: zerolog.New(e.log),
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET "+slots.Path, server)
@@ -215,7 +219,12 @@
 
 // callWithin is call with a context for the request's connection.
 func (w *engineEntry) callWithin(ctx context.Context) (response *httptest.ResponseRecorder, cut bool) {
-	request := httptest.NewRequestWithContext(ctx, "POST", "http://a/x", strings.NewReader("p"))
+	return w.callHost(ctx, "a")
+}
+
+// callHost is callWithin for the route of a host.
+func (w *engineEntry) callHost(ctx context.Context, host string) (response *httptest.ResponseRecorder, cut bool) {
+	request := httptest.NewRequestWithContext(ctx, "POST", "http://"+host+"/x", strings.NewReader("p"))
 	request.Header.Set("Id", fmt.Sprint("r", lastRequestNumber.Add(1)))
 	response = httptest.NewRecorder()
 	defer func() {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -23,6 +23,10 @@
 	// maxTotalTickets limits the sidecars that a request is submitted to in total. Several are
 	// needed because a refusal only reflects that sidecar's own queue.
 	maxTotalTickets = 8
+	// maxRefusals is the number of refusals after which no further sidecars are asked for a request
+	// below the highest tier. The first ones are those with the shortest expected waits; one that
+	// accepts after them only overestimates its prospects.
+	maxRefusals = 4
 	// reducedOpenTickets and reducedTotalTickets apply instead while the scheduling delay is
 	// high, as every ticket costs processor time.
 	reducedOpenTickets  = 2
@@ -103,6 +107,8 @@
 	maxOpen, maxTotal int
 	options           placementOptions
 	candidates        []candidate
+	// refusals counts the sidecars that expect no slot in time.
+	refusals int
 	// retryAfter is the shortest delay that a sidecar returned.
 	retryAfter    time.Duration
 	refusalReason string
@@ -229,6 +235,9 @@
 			// The objective has passed, so all other sidecars would refuse too.
 			t.candidates = nil
 		}
+		if t.refusals++; t.refusals >= maxRefusals && t.call.route.Rank > 0 && !t.options.streamStarted {
+			t.candidates = nil
+		}
 		if t.retryAfter == 0 || refused.RetryAfter < t.retryAfter {
 			t.retryAfter = refused.RetryAfter
 		}
