move: spread the take-over of a containment over the whole 16 s

Cause: takeoverDelay took a 32-bit hash as nanoseconds, so all delays lay within 4.3 s and the processes appended more often at the same time than meant. Change: a 64-bit hash of the library used elsewhere.

--- a/internal/move/recorder.go
+++ b/internal/move/recorder.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lagoonlane/lagoonlane/internal/config"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/configpb"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
@@ -57,9 +58,7 @@
 // takeoverDelay returns the delay before this process records a containment of another reporter.
 // It differs between processes, so that usually just one of them appends it.
 func (g *Guard) takeoverDelay(key string) time.Duration {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(g.options.ID + key))
-	return minTakeoverDelay + time.Duration(h.Sum32())%takeoverDelaySpread
+	return minTakeoverDelay + time.Duration(xxhash.Sum64String(g.options.ID+key)%uint64(takeoverDelaySpread))
 }
 
 // recordContainment appends a containment and waits until it is applied. It is retried at each
