routing: prefer healthy servers of the pool to ejected ones of the subset

Cause: candidates took any server of the subset, ejected or not, before it looked at the rest of the pool; and the reason for no server was that of the last one in the list. Evidence: TestEjectedServersComeAfterHealthyOnesOfThePool and TestReasonIsThatOfTheClosestServer fail before. Change: healthy of the subset, healthy of the rest, then the ejected ones; the reason of the server that comes closest to taking the request.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -42,10 +42,10 @@
 func (t *Table) ChooseAfterRejection(request Request, now time.Time) (Target, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	usable, _ := usableServers(t.subsets[request.Pool], request, now)
+	healthy, _, _ := usableServers(t.subsets[request.Pool], request, now)
 	var candidates []*server
-	for _, s := range usable {
-		if !s.ejection.ejected(now) && !s.shedsRank(request.Rank, now) {
+	for _, s := range healthy {
+		if !s.shedsRank(request.Rank, now) {
 			candidates = append(candidates, s)
 		}
 	}
@@ -77,46 +77,60 @@
 	return chosen.target
 }
 
-// candidates returns the usable backend servers of the subset, or else those of the rest of the
-// pool. Within either list it returns the ejected servers if all usable ones are ejected.
+// candidates returns the healthy backend servers of the subset, or else those of the rest of the
+// pool. If all are ejected, it returns the ejected ones of the subset, or else of the rest.
 func (t *Table) candidates(request Request, now time.Time) ([]*server, Reason) {
-	subset, reason := usableServers(t.subsets[request.Pool], request, now)
-	if len(subset) > 0 {
-		return subset, ""
+	healthy, ejected, reason := usableServers(t.subsets[request.Pool], request, now)
+	if len(healthy) > 0 {
+		return healthy, ""
 	}
-	others, otherReason := usableServers(t.others[request.Pool], request, now)
-	if len(others) > 0 {
-		return others, ""
+	healthyOthers, ejectedOthers, otherReason := usableServers(t.others[request.Pool], request, now)
+	for _, list := range [][]*server{healthyOthers, ejected, ejectedOthers} {
+		if len(list) > 0 {
+			return list, ""
+		}
 	}
-	if reason == ReasonNoServer {
+	if reasonWeight[otherReason] > reasonWeight[reason] {
 		reason = otherReason
 	}
 	return nil, reason
 }
 
-// usableServers returns the servers that can take the request and are not ejected, or else the
-// ejected ones, and the reason if there are none.
-func usableServers(servers []*server, request Request, now time.Time) ([]*server, Reason) {
-	reason := ReasonNoServer
-	var healthy, ejected []*server
+// reasonWeight orders the reasons for which servers can't take a request: that of the servers that
+// come closest to taking it is reported.
+var reasonWeight = map[Reason]int{ReasonNoServer: 0, ReasonVersion: 1, ReasonDraining: 2, ReasonExcluded: 3}
+
+// usableServers returns the servers that can take the request, those that are not ejected apart from
+// those that are, and the reason if there are none.
+func usableServers(servers []*server, request Request, now time.Time) (healthy, ejected []*server, reason Reason) {
+	reason = ReasonNoServer
 	for _, s := range servers {
+		unusable := s.unusableReason(request)
 		switch {
-		case s.leaving || s.load.GetDraining():
-			reason = ReasonDraining
-		case !s.servesVersion(request.Version):
-			reason = ReasonVersion
-		case request.Exclude[s.target.BackendServer]:
-			reason = ReasonExcluded
+		case unusable != "":
+			if reasonWeight[unusable] > reasonWeight[reason] {
+				reason = unusable
+			}
 		case s.ejection.ejected(now):
 			ejected = append(ejected, s)
 		default:
 			healthy = append(healthy, s)
 		}
 	}
-	if len(healthy) > 0 {
-		return healthy, ""
-	}
-	return ejected, reason
+	return healthy, ejected, reason
+}
+
+// unusableReason returns why a server can't take a request, or "" if it can.
+func (s *server) unusableReason(request Request) Reason {
+	switch {
+	case !s.servesVersion(request.Version):
+		return ReasonVersion
+	case s.leaving || s.load.GetDraining():
+		return ReasonDraining
+	case request.Exclude[s.target.BackendServer]:
+		return ReasonExcluded
+	}
+	return ""
 }
 
 // best returns the faster of two candidates drawn at random, by estimate. It prefers the fastest
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -102,6 +102,52 @@
 	qt.Assert(t, target.BackendServer, qt.Equals, "e0")
 }
 
+// TestEjectedServersComeAfterHealthyOnesOfThePool guards against sending to an ejected server of the
+// subset while the rest of the pool is healthy.
+func TestEjectedServersComeAfterHealthyOnesOfThePool(t *testing.T) {
+	table := NewTable(Options{EntryID: "entry", Seed: 1})
+	list := sidecars(60, platform.InstanceLive)
+	for i := range 40 {
+		list = append(list, platform.Instance{ID: fmt.Sprint("entry", i), Role: platform.RoleEntry})
+	}
+	table.SetInstances(list)
+	qt.Assert(t, len(table.others["model"]) > 0, qt.IsTrue)
+	for _, s := range table.subsets["model"] {
+		for range ejectAfterFailures {
+			table.Fail(s.target.BackendServer, now)
+		}
+	}
+	for i := range 20 {
+		target, err := table.Choose(Request{ID: fmt.Sprint(i), Pool: "model"}, now)
+		qt.Assert(t, err, qt.IsNil)
+		for _, s := range table.subsets["model"] {
+			qt.Assert(t, target.BackendServer, qt.Not(qt.Equals), s.target.BackendServer)
+		}
+	}
+}
+
+// TestReasonIsThatOfTheClosestServer guards against a reason that depends on the order of the servers.
+func TestReasonIsThatOfTheClosestServer(t *testing.T) {
+	for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 2, 0}} {
+		table := NewTable(Options{EntryID: "entry", Seed: 1})
+		all, list := sidecars(3, platform.InstanceLive), []platform.Instance{}
+		all[0].State = platform.InstanceLeaving
+		for _, i := range order {
+			list = append(list, all[i])
+		}
+		table.SetInstances(list)
+		other := load("e2", 1, 0)
+		other.Versions = []string{"v2"}
+		for _, l := range []*lanepb.Load{load("e0", 1, 0), load("e1", 1, 0), other} {
+			table.Observe(l, now)
+		}
+		_, err := table.Choose(Request{Pool: "model", Version: "v1", Exclude: map[string]bool{"e1": true}}, now)
+		var none *NoServerError
+		qt.Assert(t, err, qt.ErrorAs, &none)
+		qt.Assert(t, none.Reason, qt.Equals, ReasonExcluded)
+	}
+}
+
 // TestCachedPrefixIsPreferredUntilItsHolderIsLoaded guards against ignoring a cached prefix, and
 // against overloading its holder.
 func TestCachedPrefixIsPreferredUntilItsHolderIsLoaded(t *testing.T) {
