feed: let a few entries read the store and pass its records on

Ruled out: longer polls for all, as the bounds on changes limit them. Change: internal/feed keeps the newest records of a topic. In a roster of more than eight entries the four with the lowest ids read the store; the exchange between entries tells offsets and ages, and records are fetched from the peer that has them. An entry that hears of no read for too long reads the store itself. Pauses of readers vary, as readers in step are all equally late.

--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/admission"
 	"github.com/lagoonlane/lagoonlane/internal/callerconn"
 	"github.com/lagoonlane/lagoonlane/internal/deputy"
+	"github.com/lagoonlane/lagoonlane/internal/feed"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/gateway"
 	"github.com/lagoonlane/lagoonlane/internal/lateness"
@@ -46,6 +48,15 @@
 	// on draining. Each backend server renews its registration continuously; without a pause,
 	// every renewal would cost every entry a read.
 	serversPauseShare = 0.4
+	// configurationMaxAgeShare and serversMaxAgeShare are the time since a topic was last read by any
+	// entry after which an entry that is no reader reads it, as shares of the same bounds.
+	configurationMaxAgeShare = 0.55
+	serversMaxAgeShare       = 0.7
+	// minReaderWaitShare and maxReaderWaitShare bound the timeout of a reader's long poll of the
+	// configuration, as shares of the bound on its changes. It varies, so that the readers don't read
+	// in step.
+	minReaderWaitShare = 0.25
+	maxReaderWaitShare = 0.5
 	// statusWait is the timeout of one long poll for roll-out statuses while a roll-out is open.
 	// Entries also send changes to each other directly.
 	statusWait = 5 * time.Second
@@ -225,6 +236,7 @@
 	configuration *platform.ConfigurationSource
 	directory     *fleet.Directory
 	servers       *platform.ServerSource
+	feeds         entryFeeds
 	roster        *roster.Roster
 	gateway       *gateway.Gateway
 	deputy        *deputy.Deputy
@@ -265,12 +277,14 @@
 	if err != nil {
 		return nil, err
 	}
+	e.feeds = e.newFeeds()
 	e.roster = roster.New(roster.Options{
 		ID: n.settings.ID, Address: n.settings.Internal, BootID: n.boot, Client: peerClient, Pool: pool,
 		Configuration:        e.configuration.Configuration,
 		OnNewerConfiguration: func(raw []byte) { e.configuration.Offer(raw, "peer") },
 		OnVerified:           e.configuration.MarkVerified,
 		Rollouts:             e.rollouts,
+		Feeds:                []*feed.Feed{e.feeds.operator, e.feeds.servers, e.feeds.entries},
 		Logger:               n.logger,
 	})
 	sidecars := slots.NewClient(nil)
@@ -298,6 +312,29 @@
 	return e, err
 }
 
+// entryFeeds are the topics of the store that entries pass on to each other.
+type entryFeeds struct{ operator, servers, entries *feed.Feed }
+
+func (e *entryNode) newFeeds() entryFeeds {
+	bounds := e.settings.Bounds
+	isReader := func() bool { return e.roster.IsReader() }
+	orders := &platform.OrderSource{Controller: e.rollouts, Logger: e.logger}
+	return entryFeeds{
+		operator: feed.New(feed.Options{
+			Topic: platform.TopicOperator, Listener: platform.Listeners{e.configuration, orders}, IsReader: isReader,
+			MaxAge: time.Duration(configurationMaxAgeShare * float64(bounds.ApplyWithin)),
+		}),
+		servers: feed.New(feed.Options{
+			Topic: platform.TopicServers, Listener: e.servers, IsReader: isReader,
+			MaxAge: time.Duration(serversMaxAgeShare * float64(bounds.DrainWithin)), IsRenewal: platform.IsServerRenewal,
+		}),
+		entries: feed.New(feed.Options{
+			Topic: platform.TopicEntries, IsReader: isReader, MaxAge: membersWait,
+			Listener: &platform.MemberSource{Logger: e.logger, AddEntry: func(id, address string) { e.roster.AddEntry(id, address) }},
+		}),
+	}
+}
+
 // runPlatformEntry serves the entry role, which forwards the platform's callers to backend
 // servers.
 func runPlatformEntry(ctx context.Context, signals *signalHandler, metricsPort int) error {
@@ -326,20 +363,26 @@
 	if err := e.listen(group, e.public, e.settings.Front); err != nil {
 		return err
 	}
-	follow := func(topic string, listener platform.Listener, wait, pause time.Duration) runFunc {
-		return (&platform.Follower{Store: e.store, Topic: topic, Listener: listener, Logger: e.logger, Wait: wait, Pause: pause}).Run
-	}
 	bounds := e.settings.Bounds
-	configurationWait := time.Duration(configurationWaitShare * float64(bounds.ApplyWithin))
-	serversWait := time.Duration(serversWaitShare * float64(bounds.DrainWithin))
+	always := func(wait time.Duration) func() time.Duration { return func() time.Duration { return wait } }
+	configurationWait := func() time.Duration {
+		share := configurationWaitShare
+		if e.roster.HasFollowers() {
+			share = minReaderWaitShare + (maxReaderWaitShare-minReaderWaitShare)*rand.Float64()
+		}
+		return time.Duration(share * float64(bounds.ApplyWithin))
+	}
+	follow := func(f *feed.Feed, wait func() time.Duration, pause time.Duration) runFunc {
+		return (&platform.Follower{Store: e.store, Feed: f, Logger: e.logger, Wait: wait, Pause: pause}).Run
+	}
 	serversPause := time.Duration(serversPauseShare * float64(bounds.DrainWithin))
-	orders := &platform.OrderSource{Controller: e.rollouts, Logger: e.logger}
-	statuses := follow(platform.TopicStatus, &platform.StatusSource{Controller: e.rollouts, Logger: e.logger}, statusWait, 0)
-	operator := platform.Listeners{e.configuration, orders}
+	statuses := follow(feed.New(feed.Options{
+		Topic: platform.TopicStatus, Listener: &platform.StatusSource{Controller: e.rollouts, Logger: e.logger},
+	}), always(statusWait), 0)
 	return e.run(ctx, group, groupCtx, stop, []runFunc{
-		follow(platform.TopicOperator, operator, configurationWait, 0),
-		follow(platform.TopicServers, e.servers, serversWait, serversPause),
-		follow(platform.TopicEntries, &platform.MemberSource{Roster: e.roster, Logger: e.logger}, membersWait, time.Second),
+		follow(e.feeds.operator, configurationWait, 0),
+		follow(e.feeds.servers, always(time.Duration(serversWaitShare*float64(bounds.DrainWithin))), serversPause),
+		follow(e.feeds.entries, always(membersWait), time.Second),
 		func(ctx context.Context) error { return e.rollouts.RunWhileOpen(ctx, statuses) }, e.rollouts.Run,
 		e.register, e.roster.Run, e.gateway.Run, e.upstream.Run, e.lateness.Run,
 	}, e.drain)
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,265 @@
+// Package feed passes on what a few processes read from a topic of a shared store. In a large group only
+// some processes read the store. The others receive the changes, and the time up to which the
+// topic was read, from their peers, and read the store themselves only if that time is too long ago.
+package feed
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lagoonlane/lagoonlane/internal/steady"
+)
+
+const (
+	// minPause is the shortest time between two checks of whether the topic was read recently.
+	minPause = 20 * time.Millisecond
+	// maxAgeJitter is the relative variation of MaxAge between the processes, so that not all of them
+	// read at the same time when the readers are lost.
+	maxAgeJitter = 0.25
+)
+
+// Record is one record of a keyed topic.
+type Record struct {
+	Key string `json:"key"`
+	// Value is empty if the key was deleted.
+	Value  []byte `json:"value,omitempty"`
+	Offset uint64 `json:"offset"`
+}
+
+// Listener receives the records of a topic. Its methods are not called concurrently.
+type Listener interface {
+	// Replace receives a snapshot: the newest record of every key.
+	Replace(records []Record)
+	// Apply receives further records in log order.
+	Apply(records []Record)
+	// CaughtUp reports that every record acknowledged before the given time (on the clock that counts
+	// suspension) has been passed to Replace or Apply.
+	CaughtUp(asOf time.Time)
+	// ReadFailed reports that a read of the store failed.
+	ReadFailed(err error)
+}
+
+// State is how far a process knows a topic.
+type State struct {
+	// End is the offset before which all records are known; 0 if the topic was never read.
+	End uint64 `json:"end"`
+	// Changed is the offset after the last record that is passed on. A peer whose End is at least
+	// this lacks nothing.
+	Changed uint64 `json:"changed"`
+	// AgeMS is the time since the topic was last known to have no further records, in milliseconds;
+	// -1 if it never was.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// Page holds the records of a topic from some offset on.
+type Page struct {
+	State   State    `json:"state"`
+	Records []Record `json:"records"`
+}
+
+// Options configures a Feed. Topic and Listener are required.
+type Options struct {
+	Topic    string
+	Listener Listener
+	// IsReader reports whether this process reads the store regardless of its peers. If nil, it does.
+	IsReader func() bool
+	// MaxAge is the time since the topic was last read, here or by a peer, after which this process
+	// reads it.
+	MaxAge time.Duration
+	// IsRenewal reports whether a record only renews the previous one of its key. Renewals are not
+	// passed on to peers. If nil, no record is a renewal.
+	IsRenewal func(previous, next Record) bool
+}
+
+// Feed holds the newest records of one topic. It is safe for concurrent use.
+type Feed struct {
+	options Options
+	maxAge  time.Duration
+
+	mu sync.Mutex
+	// records holds the newest record of each key, with the offset of the last one that was not a
+	// renewal.
+	records map[string]Record
+	end     uint64
+	changed uint64
+	// verifiedAt is the time as of which all acknowledged records are known.
+	verifiedAt time.Time
+}
+
+// New returns a Feed without records.
+func New(options Options) *Feed {
+	factor := 1 - maxAgeJitter*rand.Float64()
+	return &Feed{options: options, maxAge: time.Duration(factor * float64(options.MaxAge)), records: map[string]Record{}}
+}
+
+// Topic returns the name of the topic.
+func (f *Feed) Topic() string { return f.options.Topic }
+
+// WaitTurn waits while peers keep this process up to date. It returns the offset from which the store
+// is to be read; next is the one after the last read.
+func (f *Feed) WaitTurn(ctx context.Context, next uint64) uint64 {
+	for ctx.Err() == nil && f.options.IsReader != nil && !f.options.IsReader() {
+		f.mu.Lock()
+		left := f.maxAge - steady.Since(f.verifiedAt)
+		f.mu.Unlock()
+		if left <= 0 {
+			break
+		}
+		timer := time.NewTimer(max(left, minPause))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(next, f.end)
+}
+
+// Replace takes a listing of the topic: the newest record of every key, up to the offset end.
+func (f *Feed) Replace(records []Record, end uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := map[string]bool{}
+	for _, record := range records {
+		listed[record.Key] = true
+	}
+	for key, known := range f.records {
+		if !listed[key] && len(known.Value) > 0 {
+			// The removal was not read. Peers that have not read it either receive it as the last
+			// change before the end.
+			f.store(Record{Key: key, Offset: max(end, 1) - 1})
+		}
+	}
+	for _, record := range records {
+		f.store(record)
+	}
+	f.end = max(f.end, end)
+	f.options.Listener.Replace(records)
+}
+
+// Apply takes the records that follow those known, up to the offset end.
+func (f *Feed) Apply(records []Record, end uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(records)
+	f.end = max(f.end, end)
+}
+
+func (f *Feed) apply(records []Record) {
+	for _, record := range records {
+		f.store(record)
+	}
+	f.options.Listener.Apply(records)
+}
+
+// store keeps a record as the newest of its key. The caller holds f.mu.
+func (f *Feed) store(record Record) {
+	previous, known := f.records[record.Key]
+	switch {
+	case known && record.Offset < previous.Offset:
+		return
+	case known && f.options.IsRenewal != nil && f.options.IsRenewal(previous, record):
+		record.Offset = previous.Offset
+	default:
+		f.changed = max(f.changed, record.Offset+1)
+	}
+	f.records[record.Key] = record
+}
+
+// CaughtUp reports that every record acknowledged before a time has been passed to Replace or Apply.
+func (f *Feed) CaughtUp(asOf time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.verify(asOf)
+}
+
+func (f *Feed) verify(asOf time.Time) {
+	if asOf.After(f.verifiedAt) {
+		f.verifiedAt = asOf
+		f.options.Listener.CaughtUp(asOf)
+	}
+}
+
+// ReadFailed reports that a read of the store failed.
+func (f *Feed) ReadFailed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.options.Listener.ReadFailed(err)
+}
+
+// State returns how far this process knows the topic.
+func (f *Feed) State() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state()
+}
+
+func (f *Feed) state() State {
+	state := State{End: f.end, Changed: f.changed, AgeMS: -1}
+	if !f.verifiedAt.IsZero() {
+		// Rounded up, so that the age is never too small.
+		state.AgeMS = steady.Since(f.verifiedAt).Milliseconds() + 1
+	}
+	return state
+}
+
+// Since returns the records from an offset on that a peer lacks, oldest first.
+func (f *Feed) Since(from uint64) Page {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	page := Page{State: f.state()}
+	for _, record := range f.records {
+		if record.Offset >= from {
+			page.Records = append(page.Records, record)
+		}
+	}
+	slices.SortFunc(page.Records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return page
+}
+
+// Lacks reports whether a peer in a state has records that this process lacks, and the offset from
+// which to request them. A process that has never read the topic requests nothing: it lists the
+// topic at the store.
+func (f *Feed) Lacks(peer State) (from uint64, lacks bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.end, f.end > 0 && peer.Changed > f.end
+}
+
+// ReceiveState takes over the state of a peer that was asked at a time. It has no effect if this
+// process lacks records of the peer.
+func (f *Feed) ReceiveState(peer State, askedAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.end == 0 || peer.Changed > f.end {
+		return
+	}
+	f.end = max(f.end, peer.End)
+	if peer.AgeMS >= 0 {
+		// The peer answered after askedAt, so the resulting time is never too late.
+		f.verify(askedAt.Add(-time.Duration(peer.AgeMS) * time.Millisecond))
+	}
+}
+
+// ReceivePage takes over the records that a peer sent for Lacks.
+func (f *Feed) ReceivePage(page Page, askedAt time.Time) {
+	f.mu.Lock()
+	var fresh []Record
+	for _, record := range page.Records {
+		if known, ok := f.records[record.Key]; !ok || record.Offset > known.Offset {
+			fresh = append(fresh, record)
+		}
+	}
+	if f.end > 0 {
+		f.apply(fresh)
+		f.end = max(f.end, page.State.Changed)
+	}
+	f.mu.Unlock()
+	f.ReceiveState(page.State, askedAt)
+}
--- /dev/null
+++ b/internal/roster/feeds.go
@@ -0,0 +1,83 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/feed"
+)
+
+const (
+	// readers is the number of entries that read the store in a large roster: more than one, so that
+	// the loss of a reader delays nothing.
+	readers = 4
+	// minEntriesWithFollowers is the number of entries from which on the others don't read the store.
+	minEntriesWithFollowers = 2 * readers
+)
+
+// HasFollowers reports whether the roster is so large that some entries don't read the store.
+func (r *Roster) HasFollowers() bool { return r.Membership().Entries > minEntriesWithFollowers }
+
+// IsReader reports whether this entry reads the store for others: those with the lowest ids do. In a
+// small roster all entries do.
+func (r *Roster) IsReader() bool {
+	membership := r.Membership()
+	return membership.Entries <= minEntriesWithFollowers || membership.Rank < readers
+}
+
+// receiveFeeds takes over what another entry knows of the store, as of askedAt on the clock that counts
+// suspension, and fetches the records that this one lacks.
+func (r *Roster) receiveFeeds(ctx context.Context, address string, states map[string]feed.State, askedAt time.Time) {
+	for _, f := range r.options.Feeds {
+		state, ok := states[f.Topic()]
+		if !ok {
+			continue
+		}
+		from, lacks := f.Lacks(state)
+		if !lacks {
+			f.ReceiveState(state, askedAt)
+			continue
+		}
+		page, err := r.fetchFeed(ctx, address, f.Topic(), from)
+		if err != nil {
+			r.options.Logger.Info().Str("peer", address).Str("topic", f.Topic()).Uint64("offset", from).Err(err).Msg("fetching records of another entry failed")
+			continue
+		}
+		f.ReceivePage(page, askedAt)
+	}
+}
+
+func (r *Roster) fetchFeed(ctx context.Context, address, topic string, from uint64) (feed.Page, error) {
+	query := url.Values{"topic": {topic}, "from": {strconv.FormatUint(from, 10)}}
+	data, err := r.send(ctx, http.MethodGet, address, PathFeed+"?"+query.Encode(), nil)
+	if err != nil {
+		return feed.Page{}, err
+	}
+	var page feed.Page
+	return page, errors.Wrap(json.Unmarshal(data, &page), "decoding a page of records")
+}
+
+func (r *Roster) serveFeed(w http.ResponseWriter, request *http.Request) {
+	from, err := strconv.ParseUint(request.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from is not an offset", http.StatusBadRequest)
+		return
+	}
+	for _, f := range r.options.Feeds {
+		if f.Topic() != request.URL.Query().Get("topic") {
+			continue
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(f.Since(from)); err != nil {
+			r.options.Logger.Debug().Err(err).Msg("sending records failed")
+		}
+		return
+	}
+	http.Error(w, "no such topic", http.StatusNotFound)
+}
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/lagoonlane/lagoonlane/internal/feed"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/rollout"
 )
@@ -15,6 +16,7 @@
 const (
 	PathExchange      = "/lane/v1/roster"
 	PathConfiguration = "/lane/v1/configuration"
+	PathFeed          = "/lane/v1/feed"
 )
 
 // message is the request and the response of an exchange between two entries.
@@ -28,6 +30,8 @@
 	// VerifiedAgeMS is the time since the configuration was last verified as the newest, in
 	// milliseconds; -1 if it never was.
 	VerifiedAgeMS int64 `json:"confirmed_age_ms"`
+	// Feeds holds how far the sender knows each topic of the store.
+	Feeds map[string]feed.State `json:"feeds,omitempty"`
 	// Reports holds the report of the sender and, in a small roster, the reports of other entries
 	// that are at most maxRelayAge old.
 	Reports []entryReport `json:"uses"`
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lagoonlane/lagoonlane/internal/bounded"
+	"github.com/lagoonlane/lagoonlane/internal/feed"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
@@ -66,7 +67,7 @@
 	HandleReports(id, boot string, reports []rollout.Report, at time.Time)
 }
 
-// Options configures a Roster. All fields except Rollouts are required.
+// Options configures a Roster. All fields except Rollouts and Feeds are required.
 type Options struct {
 	ID      string
 	Address string
@@ -81,7 +82,9 @@
 	OnVerified func(version int64, at time.Time)
 	// Rollouts may be nil.
 	Rollouts Rollouts
-	Logger   zerolog.Logger
+	// Feeds are the topics of the store that entries pass on to each other.
+	Feeds  []*feed.Feed
+	Logger zerolog.Logger
 }
 
 // member is the state kept for another entry.
@@ -246,6 +249,7 @@
 		return
 	}
 	r.mergeMessage(reply, sentAt)
+	r.receiveFeeds(ctx, address, reply.Feeds, sentSteady)
 	current := r.options.Configuration()
 	switch {
 	case reply.Version > current.Version:
@@ -330,6 +334,12 @@
 	if r.options.Rollouts != nil {
 		msg.Reports[0].Rollouts = r.options.Rollouts.Reports()
 	}
+	if len(r.options.Feeds) > 0 {
+		msg.Feeds = map[string]feed.State{}
+		for _, f := range r.options.Feeds {
+			msg.Feeds[f.Topic()] = f.State()
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.members) > smallRosterSize {
@@ -378,6 +388,7 @@
 func (r *Roster) Register(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+PathExchange, r.serveExchange)
 	mux.HandleFunc("GET "+PathConfiguration, r.serveConfiguration)
+	mux.HandleFunc("GET "+PathFeed, r.serveFeed)
 }
 
 func (r *Roster) serveExchange(w http.ResponseWriter, request *http.Request) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/bounded/boundedtest"
+	"github.com/lagoonlane/lagoonlane/internal/feed"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/roster"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
@@ -23,6 +24,7 @@
 // entry is a Roster that serves on a loopback port.
 type entry struct {
 	*roster.Roster
+	id      string
 	address string
 	pool    *limit.Pool
 
@@ -40,8 +42,8 @@
 	return newEntryWith(t, id, configuration, nil)
 }
 
-func newEntryWith(t *testing.T, id string, configuration roster.Configuration, rollouts roster.Rollouts) *entry {
-	e := &entry{configuration: configuration, pool: limit.NewPool(time.Now())}
+func newEntryWith(t *testing.T, id string, configuration roster.Configuration, rollouts roster.Rollouts, feeds ...*feed.Feed) *entry {
+	e := &entry{id: id, configuration: configuration, pool: limit.NewPool(time.Now())}
 	mux := http.NewServeMux()
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = transport.NewInternalServer(mux)
@@ -52,7 +54,7 @@
 	e.address = server.Listener.Addr().String()
 	e.Roster = roster.New(roster.Options{
 		ID: id, Address: e.address, BootID: id, Client: client, Pool: e.pool, Logger: zerolog.Nop(),
-		Configuration: e.current, Rollouts: rollouts,
+		Configuration: e.current, Rollouts: rollouts, Feeds: feeds,
 		OnNewerConfiguration: func(raw []byte) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -70,6 +72,20 @@
 	return e
 }
 
+// start runs the entry until the end of the test.
+func (e *entry) start(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = e.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
 func eventually(c *qt.C, condition string, ok func() bool) {
 	c.Helper()
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
