entry: a missing boot id is an error

Cause: bootID returned an empty id without an error if the sidecar's reply lacked the backend server, as after a restart beside another one; the claim then named no incarnation of the sidecar. Change: NoBootIDError, which makes the attempt go elsewhere, unrun.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -77,7 +77,11 @@
 	}
 	bootID, err := e.bootID(ctx, s.target)
 	if err != nil {
-		return s, nil, errors.WithStack(&UnreachableError{Cause: &NoBootIDError{Cause: err}})
+		var none *NoBootIDError
+		if !errors.As(err, &none) {
+			err = &NoBootIDError{Cause: err}
+		}
+		return s, nil, errors.WithStack(&UnreachableError{Cause: err})
 	}
 	s.bootID = bootID
 	result, err := e.options.Claims.Claim(ctx, &configpb.Claim{
@@ -99,7 +103,9 @@
 	return s, nil, nil
 }
 
-// bootID returns the boot id of a sidecar from its last load report, or requests a new report.
+// bootID returns the boot id of a sidecar from its last load report, or requests a new report. It
+// returns *NoBootIDError if the report lacks the backend server, as after a restart of the sidecar
+// with another one.
 func (e *Entry) bootID(ctx context.Context, target routing.Target) (string, error) {
 	if cached := e.table.BootID(target.BackendServer); cached != "" {
 		return cached, nil
@@ -114,7 +120,11 @@
 	for _, load := range response.GetLoads() {
 		e.observe(load)
 	}
-	return e.table.BootID(target.BackendServer), nil
+	bootID := e.table.BootID(target.BackendServer)
+	if bootID == "" {
+		return "", errors.WithStack(&NoBootIDError{})
+	}
+	return bootID, nil
 }
 
 // relayHolderAnswer relays the answer of the dispatch that holds the call's idempotency key. It
