sidecar: don't forward proxy credentials

Cause: the list of hop-by-hop headers lacked Proxy-Authenticate and Proxy-Authorization; the entry strips them from callers, but an answer's Proxy-Authenticate got through. Evidence: TestProxyCredentialsAreNotForwarded fails before.

--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -299,8 +299,8 @@
 
 // hopByHopHeaders are the hop-by-hop headers, which are not forwarded.
 var hopByHopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
 // toFrameHeaders converts HTTP headers for a frame, without the hop-by-hop headers.
