--- a/cmd/lagoonctl/entities.go
+++ b/cmd/lagoonctl/entities.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -272,10 +273,25 @@
 	return err
 }
 
+// parseMillis parses a duration that a configuration stores in 32 bits of milliseconds: up to 49.7
+// days.
 func parseMillis(v string, into *uint32) error {
 	d, err := time.ParseDuration(v)
+	if err != nil {
+		return err
+	}
+	if d < 0 || d.Milliseconds() > math.MaxUint32 {
+		return &DurationRangeError{Value: d}
+	}
 	*into = uint32(d.Milliseconds())
-	return err
+	return nil
+}
+
+// DurationRangeError reports a duration that is negative or longer than a configuration can store.
+type DurationRangeError struct{ Value time.Duration }
+
+func (e *DurationRangeError) Error() string {
+	return fmt.Sprintf("%v is not between 0 and %v", e.Value, math.MaxUint32*time.Millisecond)
 }
 
 func parseKind(v string, into *configpb.BackendKind) error {
