bench: no panic without engines, no silent default deployment

Cause: a direct router indexed with -1 once every engine had failed; the load tool took budapest for any unknown name.

--- a/bench/cell/direct.go
+++ b/bench/cell/direct.go
@@ -57,7 +57,10 @@
 // Send implements Router. At the deadline it disconnects and cancels the call in the
 // engine.
 func (d *directRouter) Send(ctx context.Context, arrival Arrival) caller.Result {
-	selected := d.selectEngine()
+	selected, ok := d.selectEngine()
+	if !ok {
+		return caller.Result{Outcome: caller.OutcomeNotRun, Detail: "every engine has failed"}
+	}
 	defer d.addInFlight(selected, -1)
 	target := d.cell.Engines[selected]
 	deadlineCtx, cancel := context.WithTimeout(ctx, arrival.Deadline)
@@ -87,11 +90,12 @@
 }
 
 // selectEngine returns the index of the engine with the lowest score and counts the
-// request as in flight there.
-func (d *directRouter) selectEngine() int {
+// request as in flight there. It reports false if every engine has failed.
+func (d *directRouter) selectEngine() (selected int, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	selected, best := -1, 0.0
+	selected = -1
+	best := 0.0
 	// Starting at the next engine breaks ties by round robin.
 	for i := range d.cell.Engines {
 		candidate := (d.nextEngine + i) % len(d.cell.Engines)
@@ -102,9 +106,12 @@
 			selected, best = candidate, load
 		}
 	}
+	if selected < 0 {
+		return 0, false
+	}
 	d.nextEngine = selected + 1
 	d.inFlight[selected]++
-	return selected
+	return selected, true
 }
 
 // loadScore returns the policy's score of an engine; the lowest is selected.
--- a/bench/cmd/load/main.go
+++ b/bench/cmd/load/main.go
@@ -100,7 +100,10 @@
 	if err != nil {
 		return err
 	}
-	spec := p.spec(bin, dir)
+	spec, err := p.spec(bin, dir)
+	if err != nil {
+		return err
+	}
 	d, err := deploy.Start(ctx, spec)
 	if err != nil {
 		return err
@@ -120,18 +123,26 @@
 	return p.write(result)
 }
 
-func (p parameters) spec(bin, dir string) deploy.Spec {
+// UnknownDeploymentError reports the name of a deployment that doesn't exist.
+type UnknownDeploymentError struct{ Name string }
+
+func (e *UnknownDeploymentError) Error() string {
+	return fmt.Sprintf("unknown deployment %q: budapest and ulaanbaatar exist", e.Name)
+}
+
+// spec returns the deployment to start. It returns *UnknownDeploymentError.
+func (p parameters) spec(bin, dir string) (deploy.Spec, error) {
 	specs := map[string]map[bool]func(bin, dir string) deploy.Spec{
 		"budapest":    {false: deploy.Budapest, true: deploy.BudapestFullSize},
 		"ulaanbaatar": {false: deploy.Ulaanbaatar, true: deploy.UlaanbaatarFullSize},
 	}
 	makeSpec := specs[p.deployment][p.fullSize]
 	if makeSpec == nil {
-		makeSpec = deploy.Budapest
+		return deploy.Spec{}, errors.WithStack(&UnknownDeploymentError{Name: p.deployment})
 	}
 	spec := makeSpec(bin, dir)
 	spec.LogLevel = "warn"
-	return spec
+	return spec, nil
 }
 
 func capacity(spec deploy.Spec, seed uint64) float64 {
