--- a/internal/roster/feeds.go
+++ b/internal/roster/feeds.go
@@ -50,6 +50,8 @@
 			continue
 		}
 		f.ReceivePage(page, askedAt)
+		r.options.Logger.Info().Str("peer", address).Str("topic", f.Topic()).Uint64("offset", from).Int("records", len(page.Records)).
+			Uint64("end", page.State.End).Int64("age_ms", page.State.AgeMS).Str("outcome", "received").Msg("records of another entry")
 	}
 }
 
