--- a/internal/admission/drain.go
+++ b/internal/admission/drain.go
@@ -6,36 +6,36 @@
 )
 
 const (
-	// drainTimeConstant is the time constant of the rate at which a tier's tickets get slots.
-	drainTimeConstant = time.Second
+	// grantTimeConstant is the time constant of the rate at which a tier's tickets get slots.
+	grantTimeConstant = time.Second
 	// backlogAge is the waiting time of a tier's oldest ticket above which the tier is backlogged.
 	// Below it, tickets get slots as fast as they arrive, so their rate says nothing about
 	// capacity.
 	backlogAge = 100 * time.Millisecond
 )
 
-// drainRate is the exponentially decaying rate at which the tickets of a tier get a slot.
-type drainRate struct {
+// grantRate is the exponentially decaying rate at which the tickets of a tier get a slot.
+type grantRate struct {
 	// count is the number of tickets, decayed up to updated.
 	count   float64
 	updated time.Time
 }
 
-func (d *drainRate) add(now time.Time) {
-	d.count = d.decayed(now) + 1
-	d.updated = now
+func (g *grantRate) add(now time.Time) {
+	g.count = g.decayed(now) + 1
+	g.updated = now
 }
 
-func (d *drainRate) decayed(now time.Time) float64 {
-	if d.updated.IsZero() {
+func (g *grantRate) decayed(now time.Time) float64 {
+	if g.updated.IsZero() {
 		return 0
 	}
-	return d.count * math.Exp(-now.Sub(d.updated).Seconds()/drainTimeConstant.Seconds())
+	return g.count * math.Exp(-now.Sub(g.updated).Seconds()/grantTimeConstant.Seconds())
 }
 
 // perSecond returns the rate in tickets per second.
-func (d *drainRate) perSecond(now time.Time) float64 {
-	return d.decayed(now) / drainTimeConstant.Seconds()
+func (g *grantRate) perSecond(now time.Time) float64 {
+	return g.decayed(now) / grantTimeConstant.Seconds()
 }
 
 // backlog returns the number of waiting tickets of a tier that can still meet their objective, and
--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -46,9 +46,8 @@
 	runningTokens int
 	runningByRank [MaxRank + 1]int
 	occupancy     [MaxRank + 1]occupancy
-	// drain counts the tickets that got a slot here or in another queue, granted those that got one
-	// here.
-	drain, granted   [MaxRank + 1]drainRate
+	// granted is the rate of grants by rank.
+	granted          [MaxRank + 1]grantRate
 	externalRequests int
 	// recentRunning is the largest recent number of running requests, over at least reportLag.
 	recentRunning recentMax
