--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -287,17 +287,18 @@
 		Feeds:                []*feed.Feed{e.feeds.operator, e.feeds.servers, e.feeds.entries},
 		Logger:               n.logger,
 	})
+	e.gateway, err = e.newGateway(codec, holder, pool)
+	return e, err
+}
+
+// newGateway returns the gateway of the entry, and sets its deputy.
+func (e *entryNode) newGateway(codec platform.Codec, holder *fleet.Holder, pool *limit.Pool) (*gateway.Gateway, error) {
+	n, bounds := e.node, e.settings.Bounds
 	sidecars := slots.NewClient(nil)
 	sidecars.Logger = n.limiter.Logger(n.logger, "slot connection")
 	sidecarAddress := gateway.SidecarAddress(strconv.Itoa(n.settings.InternalPort))
-	e.deputy = deputy.New(deputy.Options{
-		ID: n.settings.ID, Entries: e.roster.KnownEntries, Client: sidecars, Logger: n.logger, Limiter: n.limiter,
-		Sidecar: func(engine string) (string, bool) {
-			server, registered := e.directory.Server(engine)
-			return sidecarAddress(server), registered
-		},
-	})
-	e.gateway, err = gateway.New(gateway.Options{
+	e.deputy = e.newDeputy(sidecars, sidecarAddress)
+	return gateway.New(gateway.Options{
 		DataCentre: n.settings.DataCentre, Codec: codec, Manifest: holder, Directory: e.directory,
 		Upstream: e.upstream, Slots: sidecars,
 		SidecarAddress: sidecarAddress, DeputyAddress: e.deputy.Address,
@@ -309,7 +310,16 @@
 		MaxBufferedBytes: int64(bufferedBytesShare * float64(n.settings.MemoryBytes)),
 		Logger:           n.logger, Meter: n.metrics.Meter, Limiter: n.limiter, Requests: n.requests,
 	})
-	return e, err
+}
+
+func (e *entryNode) newDeputy(client *slots.Client, sidecarAddress func(fleet.Server) string) *deputy.Deputy {
+	return deputy.New(deputy.Options{
+		ID: e.settings.ID, Entries: e.roster.KnownEntries, Client: client, Logger: e.logger, Limiter: e.limiter,
+		Sidecar: func(engine string) (string, bool) {
+			server, registered := e.directory.Server(engine)
+			return sidecarAddress(server), registered
+		},
+	})
 }
 
 // entryFeeds are the topics of the store that entries pass on to each other.
--- /dev/null
+++ b/internal/slots/serverconn.go
@@ -0,0 +1,217 @@
+package slots
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/admission"
+)
+
+// serverConn is a sidecar's side of a connection.
+type serverConn struct {
+	server *Server
+	conn   *messageConn
+
+	mu sync.Mutex
+	// tickets holds the tickets that wait or hold a slot, by number.
+	tickets map[uint64]serverTicket
+	// unaccounted is the entry's last report of message.Unaccounted.
+	unaccounted   int
+	unaccountedAt time.Time
+}
+
+func (c *serverConn) recordUnaccounted(now time.Time, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unaccounted, c.unaccountedAt = n, now
+}
+
+func (c *serverConn) unaccountedRequests(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.unaccountedAt) > unaccountedMaxAge {
+		return 0
+	}
+	return c.unaccounted
+}
+
+// serverTicket is a request's place in the queue, and later its slot.
+type serverTicket struct {
+	requestID string
+	slot      *admission.SlotTicket
+}
+
+// logLost logs a connection that ended with open tickets. The outcome of their requests is
+// unknown to the sidecar.
+func (c *serverConn) logLost(peer string, cause error) {
+	c.conn.close(cause)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.tickets) == 0 {
+		return
+	}
+	var requestIDs []string
+	granted := 0
+	for _, ticket := range c.tickets {
+		if len(requestIDs) < maxListedRequests {
+			requestIDs = append(requestIDs, ticket.requestID)
+		}
+		if ticket.granted() {
+			granted++
+		}
+	}
+	c.server.limitedLogger.Warn().Str("entry", peer).Int("tickets", len(c.tickets)).Int("granted", granted).Strs("request_ids", requestIDs).
+		Err(c.conn.cause).Str("outcome", "lost").Msg("slot connection")
+}
+
+// granted reports whether the request holds a slot.
+func (t serverTicket) granted() bool {
+	select {
+	case <-t.slot.Decided():
+		return t.slot.Refusal() == nil
+	default:
+		return false
+	}
+}
+
+// ticketCount returns the number of tickets.
+func (c *serverConn) ticketCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.tickets)
+}
+
+func (c *serverConn) add(number uint64, ticket serverTicket) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tickets[number] = ticket
+}
+
+// remove removes a ticket and returns it, or nil if it is unknown.
+func (c *serverConn) remove(number uint64) *admission.SlotTicket {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ticket := c.tickets[number]
+	delete(c.tickets, number)
+	return ticket.slot
+}
+
+// readLoop reads an entry's messages until the connection ends. An entry with tickets that is
+// silent for silenceLimit is considered dead.
+func (c *serverConn) readLoop() error {
+	for {
+		limit := 2 * idleLimit
+		if c.ticketCount() > 0 {
+			limit = silenceLimit
+		}
+		if err := c.conn.netConn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+			return errors.Wrap(err, "deadline")
+		}
+		m, err := c.conn.read()
+		if err != nil {
+			return errors.Wrap(err, "message")
+		}
+		c.handle(m)
+	}
+}
+
+func (c *serverConn) handle(m *message) {
+	now := time.Now()
+	switch {
+	case m.Kind == kindPing:
+		c.recordUnaccounted(now, m.Unaccounted)
+		c.conn.send(m)
+	case m.Kind == kindRequest && m.Request != nil:
+		c.recordUnaccounted(now, m.Unaccounted)
+		c.submit(now, m.Ticket, m.Request)
+	case m.Kind == kindFinish && m.Result != nil:
+		if ticket := c.remove(m.Ticket); ticket != nil {
+			c.server.queue.Finish(now, ticket, m.Result.outcome())
+		}
+	case m.Kind == kindWithdraw:
+		if ticket := c.remove(m.Ticket); ticket != nil {
+			c.server.queue.Withdraw(now, ticket)
+		}
+	}
+}
+
+// submit queues a request. If the ticket has to wait, the entry is notified at once, so that it
+// can distinguish a full queue from a dead sidecar.
+func (c *serverConn) submit(now time.Time, number uint64, request *Request) {
+	s := c.server
+	if reason := s.refusalReason(); reason != "" {
+		load := s.queue.Load()
+		s.logTicket(request, reason, load, 0)
+		c.conn.send(&message{Kind: kindRefused, Ticket: number, Reason: reason, Load: &load})
+		return
+	}
+	s.applyUnaccounted(now)
+	s.queue.SetCapacity(now, request.Slots, request.MemoryTokens)
+	ticket := s.queue.Submit(now, request.admissionRequest(now))
+	c.add(number, serverTicket{requestID: request.RequestID, slot: ticket})
+	select {
+	case <-ticket.Decided():
+		c.sendDecision(number, request, ticket, 0)
+		return
+	default:
+	}
+	load := s.queue.Load()
+	c.conn.send(&message{Kind: kindQueued, Ticket: number, Load: &load})
+	go func() {
+		select {
+		case <-ticket.Decided():
+			c.sendDecision(number, request, ticket, time.Since(now))
+		case <-c.conn.closed:
+		}
+	}()
+}
+
+// sendDecision sends the grant or refusal of a ticket to the entry.
+func (c *serverConn) sendDecision(number uint64, request *Request, ticket *admission.SlotTicket, waited time.Duration) {
+	load := c.server.queue.Load()
+	refusal := ticket.Refusal()
+	switch {
+	case refusal == nil:
+		c.server.logTicket(request, "granted", load, waited)
+		c.conn.send(&message{Kind: kindGranted, Ticket: number, Load: &load})
+	case refusal.Reason == admission.ReasonBarred:
+		// The entry withdrew the ticket itself.
+	default:
+		c.remove(number)
+		c.server.logTicket(request, refusal.Reason.String(), load, waited)
+		c.conn.send(&message{
+			Kind: kindRefused, Ticket: number, Reason: refusal.Reason.String(),
+			RetryAfterMS: refusal.RetryAfter.Milliseconds(), Load: &load,
+		})
+	}
+}
+
+// withdrawAll frees the slots and tickets of the entry. The outcome of their requests is
+// unknown.
+func (c *serverConn) withdrawAll() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, ticket := range c.tickets {
+		c.server.queue.Withdraw(now, ticket.slot)
+	}
+}
+
+func (a *Request) admissionRequest(now time.Time) admission.Request {
+	r := admission.Request{
+		ID:           a.RequestID,
+		Account:      a.Account,
+		Rank:         a.Rank,
+		Deadline:     now.Add(time.Duration(a.BudgetMS) * time.Millisecond),
+		PromptTokens: uint32(max(a.PromptTokens, 0)),
+		OutputTokens: uint32(max(a.OutputTokens, 0)),
+		LateHold:     time.Duration(a.LateHoldMS) * time.Millisecond,
+		MaxEventGap:  time.Duration(a.MaxEventGapMS) * time.Millisecond,
+	}
+	if a.HasObjective {
+		r.Objective = now.Add(time.Duration(a.ObjectiveMS) * time.Millisecond)
+	}
+	return r
+}
