admission: leave the lowest tiers to their own bound on waits

These tiers wait a quarter of their objective in an overload already, so a second rule in front of it refuses requests that it would have served. Change: only tickets that may be held past their objective are predicted.

--- a/internal/admission/drain.go
+++ b/internal/admission/drain.go
@@ -52,9 +52,11 @@
 }
 
 // expectsTimelySlot reports whether a new ticket of a backlogged tier is likely to get a slot before
-// its objective is missed, at the rate at which tickets of its tier have got one recently.
+// its objective is missed, at the rate at which tickets of its tier have got one recently. Tickets
+// without a late hold are accepted: in an overload they wait for a part of their objective only (see
+// exceedsOverloadWait).
 func (q *SlotQueue) expectsTimelySlot(now time.Time, t *SlotTicket) bool {
-	if t.request.Objective.IsZero() || !q.meetsObjective(now, t) {
+	if t.request.Objective.IsZero() || t.request.LateHold <= 0 || !q.meetsObjective(now, t) {
 		return true
 	}
 	waiting, backlogged := q.backlog(now, t.request.Rank)
