limit: a process that has just started doesn't take itself for the only entry

Cause: a new pool counted one entry until the first round of the roster, 150 to 300 ms after the start. When all entries start at once, each may spend the whole initial level of every account, a quarter of the burst, on its own. Change: the pool assumes a hundred entries until one is listed, and the roster tells it their number with each registration.

--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -267,6 +267,7 @@
 	e.servers.OnRemoved = e.upstream.CloseIdleTo
 	peerClient := transport.NewClient("", nil)
 	pool := limit.NewPool(time.Now())
+	pool.AwaitEntries()
 	bounds := n.settings.Bounds
 	e.rollouts, err = rollout.New(rollout.Options{
 		ID: n.settings.ID, Bounds: rollout.Bounds{Share: bounds.ExposureShare, Slack: bounds.ExposureSlack},
--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -23,6 +23,8 @@
 	simultaneousStart = 2 * time.Second
 	// maxRetryAfter bounds the retry delay of requests that exceed a limit.
 	maxRetryAfter = 5 * time.Second
+	// unlistedEntries is the number of entries assumed until their list is known.
+	unlistedEntries = 100
 )
 
 // Rate is a rate limit in tokens.
@@ -89,6 +91,15 @@
 	return &Pool{accounts: map[string]*pooledBucket{}, peers: map[string]*peerState{}, entries: 1, hasQuorum: true, started: began}
 }
 
+// AwaitEntries makes the pool assume many entries until SetEntries is called. A process that has just
+// started doesn't know yet whether it is the only one; if a hundred start at once and each takes
+// itself for the only one, each spends the whole of every limit.
+func (p *Pool) AwaitEntries() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries = unlistedEntries
+}
+
 // SetEntries sets the number of live entries, including this one, and whether this entry is in
 // contact with a majority of them.
 func (p *Pool) SetEntries(n int, hasQuorum bool) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -110,6 +110,8 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	// listed is set once any entry, possibly this one, is known from the store or from another entry.
+	listed bool
 }
 
 // New returns a Roster without other entries.
@@ -117,15 +119,29 @@
 	return &Roster{options: options, startedAt: time.Now(), members: map[string]*member{}}
 }
 
-// AddEntry adds a registered entry or updates its address.
+// AddEntry adds a registered entry or updates its address. The limits of client accounts take it into
+// account at once.
 func (r *Roster) AddEntry(id, address string) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.addMember(id, address)
+	r.mu.Unlock()
+	r.updatePool(time.Now())
+}
+
+// updatePool tells the pool the number of live entries. It does nothing until any entry is listed, so
+// that this one doesn't take itself for the only one.
+func (r *Roster) updatePool(now time.Time) {
+	r.mu.Lock()
+	listed := r.listed
+	r.mu.Unlock()
+	if listed {
+		r.options.Pool.SetEntries(r.count(now))
+	}
 }
 
 // addMember adds or updates an entry. It returns nil for this entry. The caller holds r.mu.
 func (r *Roster) addMember(id, address string) *member {
+	r.listed = true
 	if id == r.options.ID {
 		return nil
 	}
@@ -182,7 +198,7 @@
 			timer.Stop()
 			return ctx.Err()
 		case now := <-timer.C:
-			r.options.Pool.SetEntries(r.count(now))
+			r.updatePool(now)
 			for _, m := range r.selectPeers(now) {
 				go r.call(ctx, m)
 			}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -96,6 +96,27 @@
 	c.Fatalf("not within 10 s: %s", condition)
 }
 
+// A pool that awaits the list of entries gets their number with the first registration, and not before:
+// until then this entry doesn't know whether it is the only one.
+func TestPoolAwaitsTheListOfEntries(t *testing.T) {
+	c := qt.New(t)
+	e := newEntry(t, "a", roster.Configuration{})
+	e.pool.AwaitEntries()
+	e.start(t)
+	rate := limit.Rate{PerSecond: 1, Burst: 4000}
+	// A single entry may spend the initial level, a quarter of the burst; one of many a part of it.
+	spend := func() (spent float64) {
+		for e.pool.Admit("account", rate, 10, time.Now()) == nil {
+			spent += 10
+		}
+		return spent
+	}
+	time.Sleep(500 * time.Millisecond)
+	c.Assert(spend() <= 20, qt.IsTrue)
+	e.AddEntry("a", e.address)
+	c.Assert(spend() >= 900, qt.IsTrue)
+}
+
 // An entry that can't reach the store gets the newest configuration and its verification time
 // from another entry. Entries discover each other through a third one, and account use is relayed.
 func TestEntriesTellEachOther(t *testing.T) {
