roster: fetch one configuration at a time, and large ones from the store

Cause: each exchange that found a newer configuration at another entry fetched it, up to four at once, beside the read of the store that was under way, and gave each transfer up after 400 ms. A configuration of 250 KB takes 0.2 s alone on the smallest links (10 Mbit/s), so four at once never ended and were started again with the next exchange. The abandoned copies filled the links of both sides: the store's copy, the exchanges and the sidecars' messages came late. Class of fault: transfers that are cut off before they can end and repeated, several at once, until the link carries nothing else.

Ruled out: processor time (0.047 of 0.144 cores at most), reads of the store that are never answered (no dependency lost at the late entries).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -50,6 +50,8 @@
 	// Changed is the offset after the last record that is passed on. A peer whose End is at least
 	// this lacks nothing.
 	Changed uint64 `json:"changed"`
+	// Bytes is the size of the largest record that is passed on.
+	Bytes int `json:"bytes"`
 	// AgeMS is the time since the topic was last known to have no further records, in milliseconds;
 	// -1 if it never was.
 	AgeMS int64 `json:"age_ms"`
@@ -88,12 +90,20 @@
 	changed uint64
 	// verifiedAt is the time as of which all acknowledged records are known.
 	verifiedAt time.Time
+	// storeLost is set while reads of the store fail.
+	storeLost bool
+	// readRequested receives a value when the store is to be read although peers keep this process up to
+	// date.
+	readRequested chan struct{}
 }
 
 // New returns a Feed without records.
 func New(options Options) *Feed {
 	factor := 1 - maxAgeJitter*rand.Float64()
-	return &Feed{options: options, maxAge: time.Duration(factor * float64(options.MaxAge)), records: map[string]Record{}}
+	return &Feed{
+		options: options, maxAge: time.Duration(factor * float64(options.MaxAge)), records: map[string]Record{},
+		readRequested: make(chan struct{}, 1),
+	}
 }
 
 // Topic returns the name of the topic.
@@ -102,7 +112,7 @@
 // WaitTurn waits while peers keep this process up to date. It returns the offset from which the store
 // is to be read; next is the one after the last read.
 func (f *Feed) WaitTurn(ctx context.Context, next uint64) uint64 {
-	for ctx.Err() == nil && f.options.IsReader != nil && !f.options.IsReader() {
+	for requested := false; !requested && ctx.Err() == nil && f.options.IsReader != nil && !f.options.IsReader(); {
 		f.mu.Lock()
 		left := f.maxAge - steady.Since(f.verifiedAt)
 		f.mu.Unlock()
@@ -113,6 +123,8 @@
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
+		case <-f.readRequested:
+			requested = true
 		}
 		timer.Stop()
 	}
@@ -121,6 +133,26 @@
 	return max(next, f.end)
 }
 
+// RequestRead makes this process read the store at once. It reports false, and has no effect, while reads of
+// the store fail.
+func (f *Feed) RequestRead() bool {
+	if f.StoreLost() {
+		return false
+	}
+	select {
+	case f.readRequested <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// StoreLost reports whether the last read of the store failed.
+func (f *Feed) StoreLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeLost
+}
+
 // Replace takes a listing of the topic: the newest record of every key, up to the offset end.
 func (f *Feed) Replace(records []Record, end uint64) {
 	f.mu.Lock()
@@ -141,6 +173,7 @@
 	}
 	f.end = max(f.end, end)
 	f.options.Listener.Replace(records)
+	f.dropReadRequest()
 }
 
 // Apply takes the records that follow those known, up to the offset end.
@@ -149,6 +182,15 @@
 	defer f.mu.Unlock()
 	f.apply(records)
 	f.end = max(f.end, end)
+	f.dropReadRequest()
+}
+
+// dropReadRequest withdraws a request for a read that has just taken place.
+func (f *Feed) dropReadRequest() {
+	select {
+	case <-f.readRequested:
+	default:
+	}
 }
 
 func (f *Feed) apply(records []Record) {
@@ -172,10 +214,12 @@
 	f.records[record.Key] = record
 }
 
-// CaughtUp reports that every record acknowledged before a time has been passed to Replace or Apply.
+// CaughtUp reports that a read of the store succeeded, and that every record acknowledged before a time has been
+// passed to Replace or Apply.
 func (f *Feed) CaughtUp(asOf time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.storeLost = false
 	f.verify(asOf)
 }
 
@@ -190,6 +234,7 @@
 func (f *Feed) ReadFailed(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.storeLost = true
 	f.options.Listener.ReadFailed(err)
 }
 
@@ -202,6 +247,9 @@
 
 func (f *Feed) state() State {
 	state := State{End: f.end, Changed: f.changed, AgeMS: -1}
+	for _, record := range f.records {
+		state.Bytes = max(state.Bytes, len(record.Value))
+	}
 	if !f.verifiedAt.IsZero() {
 		// Rounded up, so that the age is never too small.
 		state.AgeMS = steady.Since(f.verifiedAt).Milliseconds() + 1
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -26,6 +26,12 @@
 	period = 150 * time.Millisecond
 	// callTimeout bounds one exchange.
 	callTimeout = 400 * time.Millisecond
+	// transferTimeout bounds the transfer of a configuration or of records. A large configuration takes 0.2 s
+	// on the slowest link if nothing else does.
+	transferTimeout = 1500 * time.Millisecond
+	// fetchDelay is how long an entry waits for the store's copy of a newer configuration before it fetches that
+	// of another entry.
+	fetchDelay = time.Second
 	// maxCallsPerRound bounds the number of entries called in one round.
 	maxCallsPerRound = 4
 	// smallRosterSize is the number of other entries up to which every pair exchanges in every
@@ -110,13 +116,18 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	// transfers holds the topics of which records are being fetched, and configurationTopic.
+	transfers map[string]bool
+	// behindSince is when another entry first had a newer configuration than behindVersion.
+	behindSince   time.Time
+	behindVersion int64
 	// listed is set once any entry, possibly this one, is known from the store or from another entry.
 	listed bool
 }
 
 // New returns a Roster without other entries.
 func New(options Options) *Roster {
-	return &Roster{options: options, startedAt: time.Now(), members: map[string]*member{}}
+	return &Roster{options: options, startedAt: time.Now(), members: map[string]*member{}, transfers: map[string]bool{}}
 }
 
 // AddEntry adds a registered entry or updates its address. The limits of client accounts take it into
@@ -244,8 +255,6 @@
 }
 
 func (r *Roster) call(ctx context.Context, m *member) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	sentAt, sentSteady := time.Now(), steady.Now()
 	address := r.addressOf(m)
 	reply, err := r.exchange(ctx, address)
@@ -255,7 +264,7 @@
 	m.failed = err != nil
 	r.mu.Unlock()
 	switch {
-	case !changed || ctx.Err() == context.Canceled:
+	case !changed || ctx.Err() != nil:
 	case err != nil:
 		r.options.Logger.Info().Str("dependency", "entry").Str("peer", m.id).Err(err).Msg("dependency lost")
 	default:
@@ -269,13 +278,31 @@
 	current := r.options.Configuration()
 	switch {
 	case reply.Version > current.Version:
-		r.fetchConfiguration(ctx, address)
+		r.fetchConfiguration(ctx, address, current.Version, reply.Version)
 	case reply.Version == current.Version && reply.VerifiedAgeMS >= 0:
 		// The reply was created after sentSteady, so the resulting time is never too late.
 		r.options.OnVerified(reply.Version, sentSteady.Add(-milliseconds(reply.VerifiedAgeMS)))
 	}
 }
 
+// beginTransfer reports whether a transfer of a topic may begin: one at a time, so that transfers neither slow each
+// other down nor bring the same records twice.
+func (r *Roster) beginTransfer(topic string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.transfers[topic] {
+		return false
+	}
+	r.transfers[topic] = true
+	return true
+}
+
+func (r *Roster) endTransfer(topic string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.transfers, topic)
+}
+
 // addressOf returns the address of an entry under the lock, as other calls may update it.
 func (r *Roster) addressOf(m *member) string {
 	r.mu.Lock()
@@ -284,6 +311,8 @@
 }
 
 func (r *Roster) exchange(ctx context.Context, address string) (*message, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	body, err := json.Marshal(r.newMessage())
 	if err != nil {
 		return nil, errors.Wrap(err, "encoding roster message")
@@ -296,17 +325,45 @@
 	return &reply, errors.Wrap(json.Unmarshal(data, &reply), "decoding roster message")
 }
 
-// fetchConfiguration fetches the newer configuration of another entry and passes it to
-// OnNewerConfiguration.
-func (r *Roster) fetchConfiguration(ctx context.Context, address string) {
+// configurationTopic is the key of a transfer of the configuration in Roster.transfers.
+const configurationTopic = ""
+
+// fetchConfiguration fetches the newer configuration of another entry and passes it to OnNewerConfiguration, unless
+// the store may still bring it in time.
+func (r *Roster) fetchConfiguration(ctx context.Context, address string, current, newer int64) {
+	if !r.needsFetch(current) || !r.beginTransfer(configurationTopic) {
+		return
+	}
+	defer r.endTransfer(configurationTopic)
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	began := steady.Now()
 	raw, err := r.send(ctx, http.MethodGet, address, PathConfiguration, nil)
 	if err != nil {
-		r.options.Logger.Info().Str("peer", address).Err(err).Msg("fetching the configuration of another entry failed")
+		r.options.Logger.Info().Str("peer", address).Int64("configuration", current).Int64("newer", newer).Dur("took_ms", steady.Since(began)).Err(err).
+			Msg("fetching the configuration of another entry failed")
 		return
 	}
 	r.options.OnNewerConfiguration(raw)
 }
 
+// needsFetch reports whether a newer configuration is to be fetched from another entry: there is none yet, the
+// store can't be read, or it has not brought the newer one within fetchDelay.
+func (r *Roster) needsFetch(current int64) bool {
+	for _, f := range r.options.Feeds {
+		if f.StoreLost() {
+			return true
+		}
+	}
+	now := steady.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.behindVersion != current || r.behindSince.IsZero() {
+		r.behindVersion, r.behindSince = current, now
+	}
+	return current == 0 || now.Sub(r.behindSince) >= fetchDelay
+}
+
 func (r *Roster) send(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -38,23 +38,39 @@
 	return e.configuration
 }
 
+// entryOptions configures an entry. All fields are optional.
+type entryOptions struct {
+	configuration roster.Configuration
+	rollouts      roster.Rollouts
+	feeds         []*feed.Feed
+	// client sends the entry's calls to others.
+	client *http.Client
+}
+
 func newEntry(t *testing.T, id string, configuration roster.Configuration) *entry {
-	return newEntryWith(t, id, configuration, nil)
+	return newEntryOf(t, id, entryOptions{configuration: configuration})
 }
 
 func newEntryWith(t *testing.T, id string, configuration roster.Configuration, rollouts roster.Rollouts, feeds ...*feed.Feed) *entry {
-	e := &entry{id: id, configuration: configuration, pool: limit.NewPool(time.Now())}
+	return newEntryOf(t, id, entryOptions{configuration: configuration, rollouts: rollouts, feeds: feeds})
+}
+
+func newEntryOf(t *testing.T, id string, options entryOptions) *entry {
+	e := &entry{id: id, configuration: options.configuration, pool: limit.NewPool(time.Now())}
 	mux := http.NewServeMux()
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = transport.NewInternalServer(mux)
 	server.Start()
 	t.Cleanup(server.Close)
-	client := transport.NewClient("", nil)
-	t.Cleanup(client.CloseIdleConnections)
+	client := options.client
+	if client == nil {
+		client = transport.NewClient("", nil)
+		t.Cleanup(client.CloseIdleConnections)
+	}
 	e.address = server.Listener.Addr().String()
 	e.Roster = roster.New(roster.Options{
 		ID: id, Address: e.address, BootID: id, Client: client, Pool: e.pool, Logger: zerolog.Nop(),
-		Configuration: e.current, Rollouts: rollouts, Feeds: feeds,
+		Configuration: e.current, Rollouts: options.rollouts, Feeds: options.feeds,
 		OnNewerConfiguration: func(raw []byte) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
