--- a/internal/roster/transfer_test.go
+++ b/internal/roster/transfer_test.go
@@ -2,16 +2,13 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
-	"net"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lagoonlane/lagoonlane/internal/bounded/boundedtest"
 	"github.com/lagoonlane/lagoonlane/internal/feed"
 	"github.com/lagoonlane/lagoonlane/internal/roster"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
@@ -19,55 +16,20 @@
 )
 
 const (
-	// slowLinkBytesPerSecond is the rate of the smallest links, 10 Mbit/s.
-	slowLinkBytesPerSecond = 10_000_000 / 8
 	// largeConfigurationBytes is the size of the largest configuration that the store takes.
 	largeConfigurationBytes = 250 << 10
 	// applyWithin is the bound on configuration changes.
 	applyWithin = 3 * time.Second
 )
 
-// slowLink limits the rate of all bytes that one entry receives.
-type slowLink struct {
-	mu       sync.Mutex
-	freeAt   time.Time
-	received atomic.Int64
-}
-
-func (l *slowLink) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-	return &slowConn{Conn: conn, link: l}, err
-}
-
-type slowConn struct {
-	net.Conn
-	link *slowLink
-}
-
-// Read receives one packet at a time, in its turn on the link.
-func (c *slowConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p[:min(len(p), 1400)])
-	c.link.received.Add(int64(n))
-	c.link.mu.Lock()
-	now := time.Now()
-	if c.link.freeAt.Before(now) {
-		c.link.freeAt = now
-	}
-	c.link.freeAt = c.link.freeAt.Add(time.Duration(n) * time.Second / slowLinkBytesPerSecond)
-	turn := c.link.freeAt
-	c.link.mu.Unlock()
-	time.Sleep(time.Until(turn))
-	return n, err
-}
-
 // An entry behind a slow link never got a large configuration: it fetched it from several entries at once,
 // gave each transfer up before it could end, and started again with the next exchange.
 func TestLargeConfigurationCrossesASlowLink(t *testing.T) {
 	c := qt.New(t)
 	raw := bytes.Repeat([]byte("x"), largeConfigurationBytes)
 	newest := roster.Configuration{Version: int64(len(raw)), Raw: raw, VerifiedAt: steady.Now()}
-	link := &slowLink{}
-	client := transport.NewClient("", link.dial)
+	link := &boundedtest.SlowLink{}
+	client := transport.NewClient("", link.Dial)
 	t.Cleanup(client.CloseIdleConnections)
 	late := newEntryOf(t, "e0", entryOptions{configuration: roster.Configuration{Version: 1, Raw: []byte("x")}, client: client})
 	for i := range 10 {
@@ -81,7 +43,7 @@
 	}
 	c.Assert(late.current().Version, qt.Equals, newest.Version)
 	// One copy and the exchanges around it.
-	c.Assert(link.received.Load() < 3*largeConfigurationBytes/2, qt.IsTrue, qt.Commentf("%d bytes", link.received.Load()))
+	c.Assert(link.Received.Load() < 3*largeConfigurationBytes/2, qt.IsTrue, qt.Commentf("%d bytes", link.Received.Load()))
 }
 
 // Entries that don't read the store fetched a large record from the few that do, whose links are no faster than
@@ -94,8 +56,8 @@
 		f.Replace([]feed.Record{{Key: "k", Value: []byte("old")}}, 1)
 		f.CaughtUp(steady.Now())
 	}
-	link := &slowLink{}
-	client := transport.NewClient("", link.dial)
+	link := &boundedtest.SlowLink{}
+	client := transport.NewClient("", link.Dial)
 	t.Cleanup(client.CloseIdleConnections)
 	follower := newEntryOf(t, "e0", entryOptions{client: client, feeds: []*feed.Feed{followerFeed}})
 	reader := newEntryOf(t, "e1", entryOptions{feeds: []*feed.Feed{readerFeed}})
@@ -111,5 +73,5 @@
 	case <-time.After(applyWithin / 2):
 		c.Fatal("the follower doesn't read the store")
 	}
-	c.Assert(link.received.Load() < largeConfigurationBytes/2, qt.IsTrue, qt.Commentf("%d bytes", link.received.Load()))
+	c.Assert(link.Received.Load() < largeConfigurationBytes/2, qt.IsTrue, qt.Commentf("%d bytes", link.Received.Load()))
 }
