gateway: a stream without any event is no complete answer

What callers saw: 200 and an empty stream, where the engine had crashed before the first event.

Cause: a stream with neither a length nor chunks ends with its connection, so that the end of a crashed engine's connection looks like the end of the answer. A stream that ends inside an event was told already; one that ends before its first event was not.

Change: a stream that brings no event has been broken off, unless the caller resumes one. Test, failed before for the two streams without events: TestStreamWithoutLengthIsCompleteOnlyAfterAnEvent (go test -run StreamWithoutLength ./internal/gateway).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -202,6 +202,11 @@
 			return result
 		}
 	}
+	if result.events == 0 && p.relay.lastEventID == "" && call.info.LastEventID == "" {
+		// A stream without a length ends like this when its engine crashes.
+		result.err = errors.Wrap(io.ErrUnexpectedEOF, "stream without events")
+		return result
+	}
 	if err := p.relay.finish(); err != nil {
 		result.err = err
 		return result
