gateway, poison: keep prompt parts that crash engines from them

Cause: nothing related the crashes to the prompts. An entry saw only its own broken sends and sent the next request with the same part to the next engine. Class of fault: a poison message in a queue whose failures are put down to the workers only.

Ruled out: repeats as the cause (the kind of request runs once; 18 new requests crashed 18 engines).

Change: internal/poison. An entry that loses an answer about to begin checks whether the engine still accepts connections; if it refuses them, the parts of the prompt but the last, which is the request's own, are suspects of that crash. The entries exchange crashes, answers and verdicts with their roster. A part with three separate crashes and no answer since the first is blocked for five minutes: such requests are refused as not run before they reach an engine, also those that wait for a slot. Crashes at the same moment count once, answers clear a part, and crashes under a blocked part are no evidence against its neighbours, so sound requests with the same caller and the other parts go on.

--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -23,9 +23,11 @@
 	"github.com/lagoonlane/lagoonlane/internal/gateway"
 	"github.com/lagoonlane/lagoonlane/internal/lateness"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/roster"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
+	"github.com/lagoonlane/lagoonlane/internal/steady"
 	"github.com/lagoonlane/lagoonlane/internal/telemetry"
 	"github.com/lagoonlane/lagoonlane/internal/transport"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
@@ -241,6 +243,7 @@
 	gateway       *gateway.Gateway
 	deputy        *deputy.Deputy
 	rollouts      *rollout.Controller
+	poison        *poison.Tracker
 	lateness      *lateness.Meter
 	upstream      *upstream.Client
 	public        *callerconn.Server
@@ -278,6 +281,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.poison = poison.New(poison.Options{Now: steady.Now, Logger: n.logger})
 	e.feeds = e.newFeeds()
 	e.roster = roster.New(roster.Options{
 		ID: n.settings.ID, Address: n.settings.Internal, BootID: n.boot, Client: peerClient, Pool: pool,
@@ -285,6 +289,7 @@
 		OnNewerConfiguration: func(raw []byte) { e.configuration.Offer(raw, "peer") },
 		OnVerified:           e.configuration.MarkVerified,
 		Rollouts:             e.rollouts,
+		Poison:               e.poison,
 		Feeds:                []*feed.Feed{e.feeds.operator, e.feeds.servers, e.feeds.entries},
 		Logger:               n.logger,
 	})
@@ -303,7 +308,7 @@
 		DataCentre: n.settings.DataCentre, Codec: codec, Manifest: holder, Directory: e.directory,
 		Upstream: e.upstream, Slots: sidecars,
 		SidecarAddress: sidecarAddress, DeputyAddress: e.deputy.Address,
-		Rollouts: e.rollouts, Lateness: e.lateness, Entries: e.roster.AliveEntries, Limits: pool,
+		Rollouts: e.rollouts, Poison: e.poison, Lateness: e.lateness, Entries: e.roster.AliveEntries, Limits: pool,
 		Bounds: gateway.Bounds{
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
--- a/internal/gateway/engine_test.go
+++ b/internal/gateway/engine_test.go
@@ -95,6 +95,12 @@
 }
 
 func newEngineEntry(t *testing.T, number int, s connHandler) *engineEntry {
+	return newEngineEntryWith(t, number, s, func(*gateway.Options) {}, nil)
+}
+
+// newEngineEntryWith is newEngineEntry with further options of the gateway. If refuse is not nil, it returns the
+// error of a dial to an address, or nil.
+func newEngineEntryWith(t *testing.T, number int, s connHandler, configure func(*gateway.Options), refuse func(address string) error) *engineEntry {
 	w := &engineEntry{c: qt.New(t)}
 	// Runs last, after the end of all pauses of engines.
 	t.Cleanup(func() { time.Sleep(2 * longPause) })
@@ -110,6 +116,11 @@
 	client := upstream.New(upstream.Options{
 		RequestIDOf: func(h http.Header) string { return h.Get("Id") },
 		Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
+			if refuse != nil {
+				if err := refuse(address); err != nil {
+					return nil, err
+				}
+			}
 			return byAddress[address].front.dial(ctx)
 		},
 	})
@@ -121,8 +132,7 @@
 		client.CloseIdle()
 		leases.Close()
 	})
-	var err error
-	w.gateway, err = gateway.New(gateway.Options{
+	options := gateway.Options{
 		Codec: codec{}, Manifest: w.manifest(), Directory: dir, Upstream: client,
 		Slots: leases, SidecarAddress: func(server fleet.Server) string { return server.Address },
 		Entries: func() int { return 1 }, Limits: limit.NewPool(time.Now()),
@@ -131,7 +141,10 @@
 			Retries: gateway.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
 		},
 		Logger: zerolog.Nop(),
-	})
+	}
+	configure(&options)
+	var err error
+	w.gateway, err = gateway.New(options)
 	w.c.Assert(err, qt.IsNil)
 	return w
 }
@@ -226,6 +239,11 @@
 func (w *engineEntry) callHost(ctx context.Context, host string) (response *httptest.ResponseRecorder, cut bool) {
 	request := httptest.NewRequestWithContext(ctx, "POST", "http://"+host+"/x", strings.NewReader("p"))
 	request.Header.Set("Id", fmt.Sprint("r", lastRequestNumber.Add(1)))
+	return w.serve(request)
+}
+
+// serve handles a request; cut reports whether the answer is incomplete.
+func (w *engineEntry) serve(request *http.Request) (response *httptest.ResponseRecorder, cut bool) {
 	response = httptest.NewRecorder()
 	defer func() {
 		if cause := recover(); cause != nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -23,8 +23,10 @@
 	err        error
 	firstEvent time.Duration
 	events     int
-	load       ServerLoad
-	hasLoad    bool
+	// begun is set once the backend server has survived the beginning of its answer.
+	begun   bool
+	load    ServerLoad
+	hasLoad bool
 }
 
 // reply is a buffered answer of a backend server.
@@ -191,6 +193,10 @@
 				p.rolloutSend.ObserveFirstEvent(result.firstEvent)
 			} else {
 				p.longestPause = max(p.longestPause, now.Sub(last))
+				if begun := now.Sub(sent) - result.firstEvent; !result.begun && begun >= answerBeginTime {
+					result.begun = true
+					g.options.Poison.RecordAnswer(call.partIDs(), begun)
+				}
 			}
 			last = now
 		}
@@ -213,5 +219,9 @@
 	}
 	p.status = answer.Status
 	result.verdict = verdictAnswered
+	if !result.begun {
+		result.begun = true
+		g.options.Poison.RecordAnswer(call.partIDs(), time.Since(sent)-result.firstEvent)
+	}
 	return result
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/membudget"
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
@@ -30,7 +31,7 @@
 	Retries      RetryBounds
 }
 
-// Options configures a Gateway. All fields except DeputyAddress, Rollouts, Lateness,
+// Options configures a Gateway. All fields except DeputyAddress, Rollouts, Poison, Lateness,
 // MaxBufferedBytes, Meter, Limiter and Requests are required.
 type Options struct {
 	DataCentre string
@@ -47,6 +48,8 @@
 	// Rollouts limits versions on trial to their share of requests. If nil, no roll-outs are
 	// supported.
 	Rollouts *rollout.Controller
+	// Poison finds the parts of prompts that crash engines. If nil, no request is kept from engines.
+	Poison *poison.Tracker
 	// Lateness measures the scheduling delay of this process. If nil, the delay is taken as 0.
 	Lateness Lateness
 	// Entries returns the number of live entries, including this one.
@@ -93,7 +96,7 @@
 		memory:        membudget.New(options.MaxBufferedBytes),
 	}
 	var err error
-	g.metrics, err = newMetrics(options.Meter, g.schedulingDelay, g.memory.Used, options.Requests)
+	g.metrics, err = newMetrics(options.Meter, g.schedulingDelay, g.memory.Used, options.Requests, options.Poison.BlockedParts)
 	return g, err
 }
 
@@ -130,6 +133,9 @@
 	call, failure := g.accept(w, r)
 	defer call.memory.Release()
 	defer g.logCrash(call)
+	if failure == nil {
+		failure = g.checkPrompt(call)
+	}
 	if failure == nil {
 		failure = g.checkShutdown(call, typicalSlotWait)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -38,6 +38,9 @@
 	if tokens, err := strconv.Atoi(h.Get("Tokens")); err == nil {
 		info.MaxOutputTokens, info.HasTokens = tokens, true
 	}
+	for id := range strings.FieldsSeq(h.Get("Parts")) {
+		info.Parts = append(info.Parts, gateway.PromptPart{ID: id, Tokens: 100})
+	}
 	return info, nil
 }
 
@@ -51,6 +54,8 @@
 	if d.LastEventID != "" {
 		h.Set("Last-Event-Id", d.LastEventID)
 	}
+	h.Set("Prompt", caller.Get("Parts"))
+	h.Set("Engine", d.ServerID)
 	return h
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,7 +27,7 @@
 	duration   metric.Float64Histogram
 }
 
-func newMetrics(meter metric.Meter, delay func() time.Duration, memoryUsed func() int64, requests *Requests) (*metrics, error) {
+func newMetrics(meter metric.Meter, delay func() time.Duration, memoryUsed func() int64, requests *Requests, blockedParts func() int) (*metrics, error) {
 	if meter == nil {
 		meter = noop.Meter{}
 	}
@@ -57,12 +57,12 @@
 			return nil, errors.WithStack(err)
 		}
 	}
-	return m, m.observe(meter, delay, memoryUsed, requests)
+	return m, m.observe(meter, delay, memoryUsed, requests, blockedParts)
 }
 
-// observe registers gauges for the scheduling delay, the running requests and the buffered
-// bytes.
-func (m *metrics) observe(meter metric.Meter, delay func() time.Duration, memoryUsed func() int64, requests *Requests) error {
+// observe registers gauges for the scheduling delay, the running requests, the buffered bytes and the blocked prompt
+// parts.
+func (m *metrics) observe(meter metric.Meter, delay func() time.Duration, memoryUsed func() int64, requests *Requests, blockedParts func() int) error {
 	delayGauge, err := meter.Float64ObservableGauge("lagoonlane_process_delay", metric.WithUnit("s"))
 	if err != nil {
 		return errors.WithStack(err)
@@ -75,12 +75,17 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	blockedGauge, err := meter.Int64ObservableGauge("lagoonlane_gateway_blocked_prompt_parts", metric.WithDescription("prompt parts that crash engines and are kept from them"))
+	if err != nil {
+		return errors.WithStack(err)
+	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		o.ObserveFloat64(delayGauge, delay().Seconds())
 		o.ObserveInt64(memoryGauge, memoryUsed())
 		o.ObserveInt64(runningGauge, requests.Running())
+		o.ObserveInt64(blockedGauge, int64(blockedParts()))
 		return nil
-	}, delayGauge, memoryGauge, runningGauge)
+	}, delayGauge, memoryGauge, runningGauge, blockedGauge)
 	return errors.WithStack(err)
 }
 
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -27,6 +27,8 @@
 	KindTimeout      Kind = "timeout"
 	KindCallerLeft   Kind = "caller-left"
 	KindStopped      Kind = "stopped"
+	// KindPoisoned: a part of the prompt crashes engines.
+	KindPoisoned Kind = "poisoned"
 )
 
 // Failure is the final answer to a request that gets none from a backend server.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -47,6 +47,8 @@
 	status       int
 	// lastReply is the last error answer of a backend server.
 	lastReply *reply
+	// begun is set if the backend server of the last send survived the beginning of its answer.
+	begun bool
 	// tooManyEvents is set if a stream exceeded the requested number of tokens. The part that
 	// the caller has can't be continued by another backend server.
 	tooManyEvents bool
@@ -114,6 +116,10 @@
 			placed.release(admission.Outcome{})
 			return g.finalFailure(ctx, call, p, unavailable(KindOverloaded, staleRetryAfter, "placed after the caller's patience was over"))
 		}
+		if failure := g.checkPrompt(call); failure != nil {
+			placed.releaseUnused()
+			return g.finalFailure(ctx, call, p, failure)
+		}
 		if p.ran == 0 {
 			if failure := g.checkShutdown(call, 0); failure != nil {
 				placed.releaseUnused()
@@ -126,6 +132,7 @@
 			return nil
 		}
 		p.recordFailure(outcome, err)
+		g.checkCrash(ctx, call, p, placed.server, outcome)
 		g.logger.Info().Str("request_id", call.info.ID).Str("backend_server", placed.server.ID).
 			Str("address", placed.server.Address).Int("sends", p.sends).Str("outcome", outcome.String()).Err(err).Func(g.recordBadBytes(call, err)).Msg("send")
 		if ctx.Err() != nil || !g.mayRetry(call, p, outcome) {
@@ -198,6 +205,7 @@
 	p.server = placed.server.ID
 	p.tried[placed.server.ID] = true
 	result := g.exchange(ctx, call, p, placed)
+	p.begun = result.begun
 	// A disconnected caller or a passed deadline doesn't count against the backend server,
 	// unless it had been silent for long.
 	cut := ctx.Err() != nil && (result.firstEvent > 0 || time.Since(sent) < call.silenceLimit())
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/feed"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/rollout"
 )
 
@@ -32,6 +33,8 @@
 	VerifiedAgeMS int64 `json:"confirmed_age_ms"`
 	// Feeds holds how far the sender knows each topic of the store.
 	Feeds map[string]feed.State `json:"feeds,omitempty"`
+	// Poison is what the sender knows of prompt parts that crash engines.
+	Poison *poison.Report `json:"poison,omitempty"`
 	// Reports holds the report of the sender and, in a small roster, the reports of other entries
 	// that are at most maxRelayAge old.
 	Reports []entryReport `json:"uses"`
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/feed"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
@@ -73,7 +74,7 @@
 	HandleReports(id, boot string, reports []rollout.Report, at time.Time)
 }
 
-// Options configures a Roster. All fields except Rollouts and Feeds are required.
+// Options configures a Roster. All fields except Rollouts, Poison and Feeds are required.
 type Options struct {
 	ID      string
 	Address string
@@ -88,6 +89,8 @@
 	OnVerified func(version int64, at time.Time)
 	// Rollouts may be nil.
 	Rollouts Rollouts
+	// Poison may be nil.
+	Poison *poison.Tracker
 	// Feeds are the topics of the store that entries pass on to each other.
 	Feeds  []*feed.Feed
 	Logger zerolog.Logger
@@ -274,6 +277,7 @@
 		return
 	}
 	r.mergeMessage(reply, sentAt)
+	r.options.Poison.HandleReport(reply.ID, reply.Poison, sentSteady)
 	r.receiveFeeds(ctx, address, reply.Feeds, sentSteady)
 	current := r.options.Configuration()
 	switch {
@@ -395,7 +399,7 @@
 	configuration := r.options.Configuration()
 	msg := message{
 		ID: r.options.ID, Address: r.options.Address, BootID: r.options.BootID,
-		Version: configuration.Version, VerifiedAgeMS: -1,
+		Version: configuration.Version, VerifiedAgeMS: -1, Poison: r.options.Poison.Report(),
 		Reports: []entryReport{{
 			ID: r.options.ID, Address: r.options.Address, BootID: r.options.BootID,
 			UptimeMS: now.Sub(r.startedAt).Milliseconds(), Accounts: r.options.Pool.Report(now),
@@ -471,6 +475,7 @@
 		return
 	}
 	r.mergeMessage(&msg, time.Now())
+	r.options.Poison.HandleReport(msg.ID, msg.Poison, steady.Now())
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(r.newMessage()); err != nil {
 		r.options.Logger.Debug().Str("peer", msg.ID).Err(err).Msg("sending the exchange response failed")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -156,6 +156,19 @@
 	return answer, nil
 }
 
+// Probe opens a connection to an address and closes it. It returns *NotSentError if no connection can be
+// opened.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	raw, err := c.options.Dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.WithStack(&NotSentError{Address: address, Cause: err})
+	}
+	if c.options.OnOpen != nil {
+		c.options.OnOpen()
+	}
+	return errors.WithStack(raw.Close())
+}
+
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() {
 	c.mu.Lock()
