entry: keep prompts that crash engines from them on our own interface

Change: the entry feeds the same tracker with the hashes of a prompt's leading blocks. A sidecar resumes an answer whose connection breaks, so a fault before the first chunk means that the engine has lost the request: a suspect. A blocked prompt gets a problem of kind poisoned, outcome not-run.

Left: entries of this interface don't exchange the evidence, so each blocks after three crashes of its own (docs/LIMITS.md).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/membudget"
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/routing"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 )
@@ -32,6 +33,7 @@
 	metrics      *metrics
 	reservations *pendingReservations
 	bodyMemory   *membudget.Budget
+	poison       *poison.Tracker
 
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -71,6 +73,7 @@
 		metrics:      instruments,
 		reservations: newPendingReservations(),
 		bodyMemory:   membudget.New(options.MaxBufferedBytes),
+		poison:       poison.New(poison.Options{Now: time.Now, Logger: options.Logger}),
 	}
 	if options.AccountUse != nil {
 		options.AccountUse.SetLocalUse(func() []*lanepb.AccountUse { return e.limits.Report(time.Now()) })
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -42,14 +42,16 @@
 	breakAfter int
 	// dispatchFrames, if set, answers the dispatch in place of frames.
 	dispatchFrames []*lanepb.Frame
-	frameInterval  time.Duration
-	barred         map[string]bool
-	dispatched     map[string]int
-	bodies         []string
-	headers        []*lanepb.DispatchHeader
-	reserves       []*lanepb.ReserveRequest
-	canceled       []string
-	resumes        int
+	// framesFor, if set, returns the answer to a dispatch with a body.
+	framesFor     func(body string) []*lanepb.Frame
+	frameInterval time.Duration
+	barred        map[string]bool
+	dispatched    map[string]int
+	bodies        []string
+	headers       []*lanepb.DispatchHeader
+	reserves      []*lanepb.ReserveRequest
+	canceled      []string
+	resumes       int
 	// blockReserve, if set, blocks Reserve until it is closed.
 	blockReserve chan struct{}
 	// sentBytes counts the bytes of the chunks that were written.
@@ -124,6 +126,11 @@
 		f.send(w, 0, breakAfter, f.frames)
 		panic(http.ErrAbortHandler)
 	}
+	if f.framesFor != nil {
+		frames := f.framesFor(string(body))
+		f.send(w, 0, len(frames), frames)
+		return
+	}
 	if f.dispatchFrames != nil {
 		f.send(w, 0, len(f.dispatchFrames), f.dispatchFrames)
 		return
--- /dev/null
+++ b/internal/entry/poison.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
+)
+
+// promptParts returns the leading blocks of a prompt, each by its hash, as parts for the poison tracker. The last
+// part stands for the rest of the prompt.
+func (c *call) promptParts() []string {
+	if len(c.prefixHashes) == 0 {
+		return nil
+	}
+	parts := make([]string, 0, len(c.prefixHashes)+1)
+	for _, hash := range c.prefixHashes {
+		parts = append(parts, strconv.FormatUint(hash, 16))
+	}
+	return append(parts, "")
+}
+
+// checkPrompt returns a problem if engines crash under the beginning of the call's prompt.
+func (e *Entry) checkPrompt(c *call) *Problem {
+	part, left, blocked := e.poison.Blocked(c.promptParts())
+	if !blocked {
+		return nil
+	}
+	return notRunProblem(KindPoisoned, http.StatusServiceUnavailable, "engines crash under the beginning of the prompt: "+part).withRetryAfter(left)
+}
+
+// observePrompt records whether the engine survived the beginning of its answer. A sidecar resumes an answer whose
+// connection breaks, so a fault before the first chunk means that the engine no longer has the request.
+func (e *Entry) observePrompt(ctx context.Context, c *call, s slot, r *relay, err error) {
+	var fault *FaultError
+	switch {
+	case !c.forEngine():
+	case err == nil && r.chunks > 0:
+		e.poison.RecordAnswer(c.promptParts(), time.Since(r.firstChunkTime))
+	case errors.As(err, &fault) && fault.Outcome != lanepb.Outcome_OUTCOME_NOT_RUN && fault.Reason == lanepb.RefusalReason_REFUSAL_REASON_UNSPECIFIED &&
+		r.chunks == 0 && ctx.Err() == nil:
+		e.poison.RecordCrash(s.target.BackendServer+"/"+s.dispatchID, c.promptParts())
+	}
+}
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -46,6 +46,7 @@
 	KindAnswerLost       Kind = "answer-lost"
 	KindBackendFailed    Kind = "backend-server-failed"
 	KindAnswerNotKept    Kind = "answer-not-kept"
+	KindPoisoned         Kind = "poisoned"
 )
 
 const (
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -51,12 +51,16 @@
 	}
 	a := &attempts{version: version, triedServers: map[string]bool{}}
 	for {
+		if problem := e.checkPrompt(c); problem != nil {
+			return problem
+		}
 		s, problem := e.chooseSlot(c, a)
 		if problem != nil {
 			return problem
 		}
 		err := e.claimAndAttempt(ctx, c, a, s, r)
 		e.metrics.recordAttempt(c, attemptResult(err))
+		e.observePrompt(ctx, c, s, r, err)
 		if err == nil {
 			e.retries.Succeeded()
 			return nil
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -44,7 +44,7 @@
 
 // Options configures a Tracker. All fields are required.
 type Options struct {
-	// Now returns the time, on a clock that counts suspension.
+	// Now returns the current time.
 	Now    func() time.Time
 	Logger zerolog.Logger
 }
