platform: bound the time in which an unanswered read of the store is noticed

Change: at the end of a wait what is known is at most 0.6 (0.55) of the bound old, whatever pause came before; the head of the response may come a fifth of the bound later.

--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -41,11 +41,13 @@
 	// buffered whole. The rest of memoryLimitShare is left for connections, buffers and
 	// configuration.
 	bufferedBytesShare = 0.2
-	// configurationWaitShare and serversWaitShare are the timeouts of one long poll of the store,
-	// as shares of the bounds on configuration changes and on draining. The remainder of each
-	// bound is the time to detect a silent connection.
-	configurationWaitShare = 0.75
-	serversWaitShare       = 0.7
+	// configurationWaitShare and serversWaitShare are the longest waits of one read of the store, and the largest
+	// age of what is known at the end of a wait, as shares of the bounds on configuration changes and on draining.
+	// After readMarginShare more, a connection without a response counts as lost; the remainder of each bound is
+	// the time for another read.
+	configurationWaitShare = 0.6
+	serversWaitShare       = 0.55
+	readMarginShare        = 0.2
 	// serversPauseShare is the pause after an update of backend servers, as a share of the bound
 	// on draining. Each backend server renews its registration continuously; without a pause,
 	// every renewal would cost every entry a read.
@@ -391,13 +393,20 @@
 	follow := func(f *feed.Feed, wait func() time.Duration, pause time.Duration) runFunc {
 		return (&platform.Follower{Store: e.store, Feed: f, Logger: e.logger, Wait: wait, Pause: pause}).Run
 	}
+	// followWithin reads a topic whose changes must be known within a bound.
+	followWithin := func(f *feed.Feed, wait func() time.Duration, maxAgeShare float64, bound, pause time.Duration) runFunc {
+		return (&platform.Follower{
+			Store: e.store, Feed: f, Logger: e.logger, Wait: wait, Pause: pause,
+			MaxAge: time.Duration(maxAgeShare * float64(bound)), Margin: time.Duration(readMarginShare * float64(bound)),
+		}).Run
+	}
 	serversPause := time.Duration(serversPauseShare * float64(bounds.DrainWithin))
 	statuses := follow(feed.New(feed.Options{
 		Topic: platform.TopicStatus, Listener: &platform.StatusSource{Controller: e.rollouts, Logger: e.logger},
 	}), always(statusWait), 0)
 	return e.run(ctx, group, groupCtx, stop, []runFunc{
-		follow(e.feeds.operator, configurationWait, 0),
-		follow(e.feeds.servers, always(time.Duration(serversWaitShare*float64(bounds.DrainWithin))), serversPause),
+		followWithin(e.feeds.operator, configurationWait, configurationWaitShare, bounds.ApplyWithin, 0),
+		followWithin(e.feeds.servers, always(time.Duration(serversWaitShare*float64(bounds.DrainWithin))), serversWaitShare, bounds.DrainWithin, serversPause),
 		follow(e.feeds.entries, always(membersWait), time.Second),
 		func(ctx context.Context) error { return e.rollouts.RunWhileOpen(ctx, statuses) }, e.rollouts.Run,
 		e.register, e.roster.Run, e.gateway.Run, e.upstream.Run, e.lateness.Run,
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -238,6 +238,13 @@
 	f.options.Listener.ReadFailed(err)
 }
 
+// Age returns the time since the topic was last known to have no further records.
+func (f *Feed) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return steady.Since(f.verifiedAt)
+}
+
 // State returns how far this process knows the topic.
 func (f *Feed) State() State {
 	f.mu.Lock()
