--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -82,14 +82,17 @@
 	return &Tracker{options: options, crashes: map[string]*crash{}, answered: map[string]time.Time{}, ownAnswers: map[string]time.Time{}, blocked: map[string]*block{}}
 }
 
-// Shared returns the parts of a prompt that other requests can have as well: all but the last. Only these
-// are tracked.
-func Shared(parts []string) []string {
+// tracked returns the parts of a prompt that are tracked: all but the last, which belongs to the request alone. It
+// returns nil if a part is too long to be kept.
+func tracked(parts []string) []string {
 	if len(parts) < 2 {
 		return nil
 	}
-	shared := parts[:len(parts)-1]
-	return shared[:min(len(shared), maxRequestParts)]
+	shared := parts[:min(len(parts)-1, maxRequestParts)]
+	if !validParts(shared) {
+		return nil
+	}
+	return shared
 }
 
 // Blocked returns the first blocked part among the parts of a prompt, and how long it will stay
@@ -105,7 +108,7 @@
 		return "", 0, false
 	}
 	t.update(now)
-	for _, part := range Shared(parts) {
+	for _, part := range tracked(parts) {
 		if b := t.blocked[part]; b != nil {
 			return part, b.lastCrash.Add(blockTTL).Sub(now), true
 		}
@@ -116,8 +119,8 @@
 // RecordCrash records that an engine incarnation ended while it was about to begin the answer to a request
 // with some prompt parts.
 func (t *Tracker) RecordCrash(incarnation string, parts []string) {
-	shared := Shared(parts)
-	if t == nil || len(shared) == 0 || !validParts(shared) {
+	shared := tracked(parts)
+	if t == nil || len(shared) == 0 {
 		return
 	}
 	now := t.options.Now()
@@ -130,8 +133,8 @@
 // RecordAnswer records that an engine has survived the beginning of the answer to a request with some prompt
 // parts. The answer began some time ago.
 func (t *Tracker) RecordAnswer(parts []string, ago time.Duration) {
-	shared := Shared(parts)
-	if t == nil || len(shared) == 0 || !validParts(shared) {
+	shared := tracked(parts)
+	if t == nil || len(shared) == 0 {
 		return
 	}
 	now := t.options.Now()
