poison: crashes of many engines at once are no evidence against prompts

What callers could see: a sound part of a prompt blocked for five minutes.

Cause: engines that fail together counted as one crash, but for each part that waited at any of them.

Change: engines that crash within 150 ms share the weight of one crash, and three of them or more that are a quarter of all engines have a common cause. On our own interface faults of one backend server within two seconds are one crash.

Evidence: TestEnginesThatFailTogetherBlockNothing with five waves failed before; TestDeadlyPartIsToldAmongOtherCrashes.

--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -283,7 +283,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e.poison = poison.New(poison.Options{Now: steady.Now, Logger: n.logger})
+	e.poison = poison.New(poison.Options{Now: steady.Now, Engines: func() int { return len(e.directory.IDs()) }, Logger: n.logger})
 	e.feeds = e.newFeeds()
 	e.roster = roster.New(roster.Options{
 		ID: n.settings.ID, Address: n.settings.Internal, BootID: n.boot, Client: peerClient, Pool: pool,
--- a/internal/entry/poison.go
+++ b/internal/entry/poison.go
@@ -11,6 +11,9 @@
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 )
 
+// crashInterval is the time in which faults of one backend server count as one crash. An engine takes longer to restart.
+const crashInterval = 2 * time.Second
+
 // promptParts returns the leading blocks of a prompt, each by its hash, as parts for the poison tracker. The last
 // part stands for the rest of the prompt.
 func (c *call) promptParts() []string {
@@ -43,6 +46,7 @@
 		e.poison.RecordAnswer(c.promptParts(), time.Since(r.firstChunkTime))
 	case errors.As(err, &fault) && fault.Outcome != lanepb.Outcome_OUTCOME_NOT_RUN && fault.Reason == lanepb.RefusalReason_REFUSAL_REASON_UNSPECIFIED &&
 		r.chunks == 0 && ctx.Err() == nil:
-		e.poison.RecordCrash(s.target.BackendServer+"/"+s.dispatchID, c.promptParts())
+		incarnation := s.target.BackendServer + "@" + strconv.FormatInt(time.Now().Truncate(crashInterval).Unix(), 10)
+		e.poison.RecordCrash(incarnation, c.promptParts())
 	}
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -18,9 +18,15 @@
 	// crashesToBlock is the number of separate crashes under a part, without an answer in between,
 	// from which on the part is blocked.
 	crashesToBlock = 3
-	// separateCrashes is the shortest time between two crashes that count as separate. Engines that
-	// fail together, with their host or data centre, have one cause, which is no prompt.
+	// separateCrashes is the shortest time between two crashes that count as separate.
 	separateCrashes = 150 * time.Millisecond
+	// minWeight is the weight of the crashes under a part from which on it is blocked. A crash has the weight 1; of
+	// several engines that crash together, each has an equal part of it.
+	minWeight = 2.0
+	// commonCauseEngines and commonCauseShare are the number and the share of all engines that crash together
+	// from which on their cause is not a prompt but their host, data centre or operator.
+	commonCauseEngines = 3
+	commonCauseShare   = 0.25
 	// settleTime is the age of the first crash from which on a part is blocked. Until then, the answers
 	// of other engines show that a part that many requests share is harmless.
 	settleTime = 500 * time.Millisecond
@@ -42,11 +48,13 @@
 	maxRequestParts = 16
 )
 
-// Options configures a Tracker. All fields are required.
+// Options configures a Tracker. Now and Logger are required.
 type Options struct {
 	// Now returns the current time.
-	Now    func() time.Time
-	Logger zerolog.Logger
+	Now func() time.Time
+	// Engines returns the number of engines. If nil, it is unknown and taken as 0.
+	Engines func() int
+	Logger  zerolog.Logger
 }
 
 // Tracker holds the evidence and the blocked parts. It is safe for concurrent use. A nil Tracker blocks
@@ -228,11 +236,14 @@
 	}
 }
 
-// candidate is a part with enough crashes.
+// candidate is a part under which engines have crashed.
 type candidate struct {
 	part string
 	// depth is the position of the part in its prompt.
-	depth       int
+	depth int
+	// crashes counts the separate crashes.
+	crashes     int
+	weight      float64
 	first, last time.Time
 }
 
@@ -256,40 +267,70 @@
 	return best.part, best.last, true
 }
 
-// candidates returns the parts with crashesToBlock separate crashes since their last answer.
+// candidates returns the parts with enough crashes since their last answer.
 func (t *Tracker) candidates() []candidate {
-	times, depths := map[string][]time.Time{}, map[string]int{}
-	for _, c := range t.crashes {
-		counted := map[string]bool{}
-		for _, parts := range c.suspects {
-			for depth, part := range parts {
-				depths[part] = max(depths[part], depth)
-				if !counted[part] && c.at.After(t.answered[part]) {
-					counted[part] = true
-					times[part] = append(times[part], c.at)
-				}
-			}
+	found := map[string]*candidate{}
+	for _, together := range t.crashGroups() {
+		if t.haveCommonCause(together) {
+			continue
+		}
+		for part, engines := range t.suspectParts(together, found) {
+			found[part].crashes++
+			found[part].weight += float64(engines) / float64(len(together))
 		}
 	}
 	var all []candidate
-	for part, at := range times {
-		slices.SortFunc(at, time.Time.Compare)
-		if countSeparate(at) >= crashesToBlock {
-			all = append(all, candidate{part: part, depth: depths[part], first: at[0], last: at[len(at)-1]})
+	for _, c := range found {
+		if c.crashes >= crashesToBlock && c.weight >= minWeight {
+			all = append(all, *c)
 		}
 	}
 	return all
 }
 
-// countSeparate counts the times that are at least separateCrashes after the previous one counted.
-func countSeparate(sorted []time.Time) int {
-	n, previous := 0, time.Time{}
-	for _, at := range sorted {
-		if n == 0 || at.Sub(previous) >= separateCrashes {
-			n, previous = n+1, at
+// crashGroups returns the crashes in groups of those that are not separate, the earliest first.
+func (t *Tracker) crashGroups() [][]*crash {
+	sorted := slices.SortedFunc(maps.Values(t.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+	var groups [][]*crash
+	for _, c := range sorted {
+		if n := len(groups); n > 0 && c.at.Sub(groups[n-1][0].at) < separateCrashes {
+			groups[n-1] = append(groups[n-1], c)
+			continue
+		}
+		groups = append(groups, []*crash{c})
+	}
+	return groups
+}
+
+func (t *Tracker) haveCommonCause(together []*crash) bool {
+	engines := 0
+	if t.options.Engines != nil {
+		engines = t.options.Engines()
+	}
+	return len(together) >= commonCauseEngines && float64(len(together)) >= commonCauseShare*float64(engines)
+}
+
+// suspectParts returns the number of crashes of a group under each part since its last answer, and adds the parts to
+// found.
+func (t *Tracker) suspectParts(together []*crash, found map[string]*candidate) map[string]int {
+	engines := map[string]int{}
+	for _, c := range together {
+		counted := map[string]bool{}
+		for _, parts := range c.suspects {
+			for depth, part := range parts {
+				if counted[part] || !c.at.After(t.answered[part]) {
+					continue
+				}
+				counted[part] = true
+				engines[part]++
+				if found[part] == nil {
+					found[part] = &candidate{part: part, first: c.at}
+				}
+				found[part].depth, found[part].last = max(found[part].depth, depth), c.at
+			}
 		}
 	}
-	return n
+	return engines
 }
 
 // limitCrashes keeps the newest crashes.
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -12,13 +12,16 @@
 	"pgregory.net/rapid"
 )
 
+// testEngines is the number of engines of a tracker.
+const testEngines = 12
+
 // clock is a settable clock.
 type clock struct{ now time.Time }
 
 func newClock() *clock { return &clock{now: time.Unix(1000, 0)} }
 
 func (c *clock) tracker() *Tracker {
-	return New(Options{Now: func() time.Time { return c.now }, Logger: zerolog.Nop()})
+	return New(Options{Now: func() time.Time { return c.now }, Engines: func() int { return testEngines }, Logger: zerolog.Nop()})
 }
 
 func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
@@ -71,16 +74,36 @@
 func TestEnginesThatFailTogetherBlockNothing(t *testing.T) {
 	c, k := qt.New(t), newClock()
 	tracker := k.tracker()
-	for wave := range 2 {
-		for i := range 30 {
-			tracker.RecordCrash(fmt.Sprint("engine-", wave, "-", i), []string{"system", "thing", "own"})
+	for wave := range 5 {
+		for i := range testEngines {
+			engine := fmt.Sprint("engine-", wave, "-", i)
+			tracker.RecordCrash(engine, []string{"system", fmt.Sprint("other-", i), "own"})
+			if i == wave {
+				tracker.RecordCrash(engine, []string{"system", "rare", "own"})
+			}
 			k.advance(time.Millisecond)
 		}
-		k.advance(5 * time.Second)
-		c.Assert(isBlocked(tracker, "system", "thing", "own"), qt.IsFalse)
+		k.advance(1500 * time.Millisecond)
+		c.Assert(isBlocked(tracker, "system", "rare", "own"), qt.IsFalse)
 	}
 }
 
+// A deadly part is told although other engines crash at the same moments.
+func TestDeadlyPartIsToldAmongOtherCrashes(t *testing.T) {
+	c, k := qt.New(t), newClock()
+	tracker := k.tracker()
+	for i := range 5 {
+		tracker.RecordAnswer([]string{"system", "own"}, 0)
+		tracker.RecordCrash(fmt.Sprint("engine-", i), []string{"system", "deadly", "own"})
+		if i%2 == 0 {
+			tracker.RecordCrash(fmt.Sprint("other-", i), []string{"system", fmt.Sprint("thing-", i), "own"})
+		}
+		k.advance(time.Second)
+	}
+	c.Assert(isBlocked(tracker, "system", "deadly", "own"), qt.IsTrue)
+	c.Assert(tracker.BlockedParts(), qt.Equals, 1)
+}
+
 func TestSeveralDeadlyPartsAreTold(t *testing.T) {
 	c, k := qt.New(t), newClock()
 	tracker := k.tracker()
