feed: a listing of the store hides no removal from peers

What back ends saw: requests 3.0 to 3.3 s after their registration was removed.

Cause: a process that starts lists the topic. The list has no trace of keys that were removed before; its end offset lies behind the removals, and the offset of its last change before them. Peers that had not read the removals yet concluded that they lacked nothing, took over the end offset, and never read them.

Change: a state tells the end of the last listing; a peer whose own offset is lower takes over neither offset nor time.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -48,8 +48,10 @@
 	// End is the offset before which all records are known; 0 if the topic was never read.
 	End uint64 `json:"end"`
 	// Changed is the offset after the last record that is passed on. A peer whose End is at least
-	// this lacks nothing.
+	// this, and at least Listed, lacks nothing.
 	Changed uint64 `json:"changed"`
+	// Listed is the end of the last listing. Which keys were removed before it is not known.
+	Listed uint64 `json:"listed"`
 	// Bytes is the size of the largest record that is passed on.
 	Bytes int `json:"bytes"`
 	// AgeMS is the time since the topic was last known to have no further records, in milliseconds;
@@ -88,6 +90,7 @@
 	records map[string]Record
 	end     uint64
 	changed uint64
+	listed  uint64
 	// verifiedAt is the time as of which all acknowledged records are known.
 	verifiedAt time.Time
 	// storeLost is set while reads of the store fail.
@@ -171,7 +174,7 @@
 	for _, record := range records {
 		f.store(record)
 	}
-	f.end = max(f.end, end)
+	f.end, f.listed = max(f.end, end), max(f.listed, end)
 	f.options.Listener.Replace(records)
 	f.dropReadRequest()
 }
@@ -206,6 +209,10 @@
 	switch {
 	case known && record.Offset < previous.Offset:
 		return
+	case known && record.Offset == previous.Offset:
+		// Received before in an incomplete page.
+		f.changed = max(f.changed, record.Offset+1)
+		return
 	case known && f.options.IsRenewal != nil && f.options.IsRenewal(previous, record):
 		record.Offset = previous.Offset
 	default:
@@ -253,7 +260,7 @@
 }
 
 func (f *Feed) state() State {
-	state := State{End: f.end, Changed: f.changed, AgeMS: -1}
+	state := State{End: f.end, Changed: f.changed, Listed: f.listed, AgeMS: -1}
 	for _, record := range f.records {
 		state.Bytes = max(state.Bytes, len(record.Value))
 	}
@@ -288,11 +295,11 @@
 }
 
 // ReceiveState takes over the state of a peer that was asked at a time. It has no effect if this
-// process lacks records of the peer.
+// process may lack records of the peer.
 func (f *Feed) ReceiveState(peer State, askedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.end == 0 || peer.Changed > f.end {
+	if f.end == 0 || peer.Changed > f.end || peer.Listed > f.end {
 		return
 	}
 	f.end = max(f.end, peer.End)
@@ -302,7 +309,8 @@
 	}
 }
 
-// ReceivePage takes over the records that a peer sent for Lacks.
+// ReceivePage takes over the records that a peer sent for Lacks. If the peer has listed the topic since, removals may
+// be missing from the page: the state of this process stays as it is, for its peers too.
 func (f *Feed) ReceivePage(page Page, askedAt time.Time) {
 	f.mu.Lock()
 	var fresh []Record
@@ -312,8 +320,13 @@
 		}
 	}
 	if f.end > 0 {
+		changed := f.changed
 		f.apply(fresh)
-		f.end = max(f.end, page.State.Changed)
+		if page.State.Listed <= f.end {
+			f.end, f.changed = max(f.end, page.State.Changed), max(f.changed, page.State.Changed)
+		} else {
+			f.changed = changed
+		}
 	}
 	f.mu.Unlock()
 	f.ReceiveState(page.State, askedAt)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -116,6 +116,40 @@
 	c.Assert(got.values, qt.DeepEquals, map[string]string{"a": "2"})
 }
 
+// A process that has just started lists the topic without the keys that were removed before. Its peers took over its
+// offset, and never learned of the removals that they had not read.
+func TestListingOfANewProcessHidesNoRemoval(t *testing.T) {
+	c := qt.New(t)
+	follower, got := newFeed(false)
+	follower.Replace([]feed.Record{record("a", "1", 0), record("b", "1", 1)}, 2)
+	started, _ := newFeed(false)
+	started.Replace([]feed.Record{record("a", "1", 0)}, 3)
+	started.CaughtUp(steady.Now())
+	c.Assert(pull(follower, started), qt.IsFalse)
+	c.Assert(follower.State().End, qt.Equals, uint64(2))
+	c.Assert(got.verifiedAt.IsZero(), qt.IsTrue)
+	// A change after the listing doesn't make it complete either.
+	started.Apply([]feed.Record{record("c", "1", 3)}, 4)
+	c.Assert(pull(follower, started), qt.IsTrue)
+	c.Assert(got.values["c"], qt.Equals, "1")
+	c.Assert(follower.State().End, qt.Equals, uint64(2))
+	// What was received incompletely makes no other process skip the removal.
+	third, _ := newFeed(false)
+	third.Replace([]feed.Record{record("a", "1", 0), record("b", "1", 1)}, 2)
+	c.Assert(pull(third, follower), qt.IsFalse)
+	c.Assert(third.State().End, qt.Equals, uint64(2))
+	reader, _ := newFeed(true)
+	reader.Replace([]feed.Record{record("a", "1", 0), record("b", "1", 1)}, 2)
+	reader.Apply([]feed.Record{record("b", "", 2), record("c", "1", 3)}, 4)
+	reader.CaughtUp(steady.Now())
+	c.Assert(pull(follower, reader), qt.IsTrue)
+	c.Assert(got.values, qt.DeepEquals, map[string]string{"a": "1", "c": "1"})
+	c.Assert(follower.State().End, qt.Equals, uint64(4))
+	c.Assert(follower.State().Changed, qt.Equals, uint64(4))
+	c.Assert(pull(third, follower), qt.IsTrue)
+	c.Assert(third.State().End, qt.Equals, uint64(4))
+}
+
 // A follower that lacks records must not count as up to date, and the time taken over is never later
 // than that of the peer.
 func TestStateOfAPeerIsTakenOverOnlyIfNothingIsMissing(t *testing.T) {
