lagoonlane: log the errors of closing servers

Two places of our own interface's process dropped the error of Close without a log line: the end of the internal server after the public one could not start, and the closing of connections after the drain timeout. The errors of writing the answer to a health check have their reason stated.

--- a/cmd/lagoonlane/process.go
+++ b/cmd/lagoonlane/process.go
@@ -130,8 +130,9 @@
 	httpServer.ErrorLog = p.limiter.ServerErrorLog(p.logger, "public")
 	public := callerconn.NewServer(httpServer)
 	if err := startServer(group, public, p.settings.Public); err != nil {
-		_ = internal.Close()
-		_ = group.Wait()
+		if closeErr := firstError(internal.Close(), group.Wait()); closeErr != nil {
+			p.logger.Warn().Err(closeErr).Str("server", "internal").Msg("failed to end a server after another one could not start")
+		}
 		return nil, err
 	}
 	return []drainServer{public, internal}, nil
@@ -165,7 +166,9 @@
 	for _, server := range servers {
 		if err := server.Shutdown(drainCtx); err != nil {
 			p.logger.Warn().Err(err).Msg("closing connections that were still open at the end of the drain timeout")
-			_ = server.Close()
+			if err := server.Close(); err != nil {
+				p.logger.Warn().Err(err).Msg("failed to close a server")
+			}
 		}
 	}
 }
@@ -188,6 +191,8 @@
 	return mux
 }
 
+// registerHealth registers the health checks. Errors of writing are ignored: the prober has left, and the next probe
+// gets its own answer.
 func (p *process) registerHealth(mux *http.ServeMux, ready func() bool) {
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok\n")
