e2e: a failing test of an engine that gets several times the request rate that it names

One entry, one sidecar and one engine as real processes; the engine names 1.3 requests a second in each answer, callers ask for 10.

--- /dev/null
+++ b/bench/e2e/ratelimit_test.go
@@ -0,0 +1,104 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lagoonlane/lagoonlane/platform/standin"
+)
+
+const (
+	// namedLimit is the request rate that the engine of the test names, in requests a second.
+	namedLimit     = 1.3
+	namedLimitText = "1.3"
+	// limitNoticeTime is the time after the first answer with a limit from which on it must be kept.
+	limitNoticeTime = 3 * time.Second
+	// limitWindow is the window over which requests are counted. In it, an engine may get limitOvershoot times what its
+	// limit allows, and limitSlack requests more.
+	limitWindow    = 4 * time.Second
+	limitOvershoot = 1.5
+	limitSlack     = 5
+	// overloadTime is how long the callers of the test ask for more than the limit, offeredInterval the time between
+	// two of their requests.
+	overloadTime    = 14 * time.Second
+	offeredInterval = 100 * time.Millisecond
+	// minServedShare is the share of its limit that an engine must serve under a lasting overload.
+	minServedShare = 0.8
+)
+
+// arrivals records when requests reach an engine.
+type arrivals struct {
+	noopLedger
+
+	mu sync.Mutex
+	at []time.Time
+}
+
+func (a *arrivals) RecordArrival(_ *standin.Server, _ string, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.at = append(a.at, at)
+}
+
+// most returns the largest number of arrivals in any window from a time on, and their total from then on.
+func (a *arrivals) most(from time.Time, window time.Duration) (most, total int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i, first := range a.at {
+		if first.Before(from) {
+			continue
+		}
+		total++
+		n := 0
+		for _, at := range a.at[i:] {
+			if at.Sub(first) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most, total
+}
+
+// Guards against sending an engine several times the request rate that it names in its answers (LIMIT).
+func TestEngineGetsTheRequestRateThatItNames(t *testing.T) {
+	t.Parallel()
+	s := newPlatformSite(t)
+	counted := &arrivals{}
+	limit := namedLimitText
+	s.engine.Events, s.engine.Ledger = 3, counted
+	s.engine.RateLimit.Store(&limit)
+	s.start(s.sidecar, s.entry)
+	first := time.Now()
+	var requests sync.WaitGroup
+	ticker := time.NewTicker(offeredInterval)
+	defer ticker.Stop()
+	for i := 0; time.Since(first) < overloadTime; i++ {
+		requests.Go(func() { s.requestStream(fmt.Sprint("limited-", i)) })
+		<-ticker.C
+	}
+	requests.Wait()
+	most, total := counted.most(first.Add(limitNoticeTime), limitWindow)
+	allowed := limitOvershoot*namedLimit*limitWindow.Seconds() + limitSlack
+	s.c.Check(float64(most) <= allowed, qt.IsTrue, qt.Commentf("%d requests in %v, allowed %.1f", most, limitWindow, allowed))
+	served := minServedShare * namedLimit * (overloadTime - limitNoticeTime).Seconds()
+	s.c.Check(float64(total) >= served, qt.IsTrue, qt.Commentf("%d requests in %v, at least %.1f expected", total, overloadTime-limitNoticeTime, served))
+}
+
+// requestStream requests a stream and discards the answer, whatever it is.
+func (s *platformSite) requestStream(id string) {
+	callerRequest := standin.CallerRequest{ID: id, Key: "key-open", Timeout: 2 * time.Second, PromptTokens: 100, OutputTokens: 10}
+	r, err := http.NewRequestWithContext(s.c.Context(), http.MethodPost, "http://"+s.entry.machine.Front+"/stream/x", strings.NewReader("prompt"))
+	s.c.Assert(err, qt.IsNil)
+	r.Host, r.Header = standin.Host, callerRequest.Header()
+	answer, err := http.DefaultClient.Do(r)
+	if err == nil {
+		answer.Body.Close()
+	}
+}
