slots: close a client without holding its lock while connections are opened

Cause: Client.Close held the lock of all connections while it waited for those that were being opened; a connection that ended meanwhile waited for the lock. Change: the connections are collected under the lock and closed without it.

--- a/internal/slots/client.go
+++ b/internal/slots/client.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,9 +66,11 @@
 	c.cancel()
 	c.outages.mu.Unlock()
 	c.checks.Wait()
+	// Opening a connection takes time, and those that end need the lock.
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.conns {
+	conns := slices.Collect(maps.Values(c.conns))
+	c.mu.Unlock()
+	for _, conn := range conns {
 		<-conn.opened
 		if conn.conn != nil {
 			conn.conn.close(nil)
