--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/backpressure"
 	"github.com/lagoonlane/lagoonlane/internal/callerconn"
 	"github.com/lagoonlane/lagoonlane/internal/deputy"
 	"github.com/lagoonlane/lagoonlane/internal/feed"
@@ -246,6 +247,7 @@
 	deputy        *deputy.Deputy
 	rollouts      *rollout.Controller
 	poison        *poison.Tracker
+	backpressure  *backpressure.Tracker
 	lateness      *lateness.Meter
 	upstream      *upstream.Client
 	public        *callerconn.Server
@@ -284,6 +286,7 @@
 		return nil, err
 	}
 	e.poison = poison.New(poison.Options{Now: steady.Now, Engines: func() int { return len(e.directory.IDs()) }, Logger: n.logger})
+	e.backpressure = backpressure.New(backpressure.Options{ID: n.settings.ID, Now: steady.Now, Logger: n.limiter.Logger(n.logger, "backpressure")})
 	e.feeds = e.newFeeds()
 	e.roster = roster.New(roster.Options{
 		ID: n.settings.ID, Address: n.settings.Internal, BootID: n.boot, Client: peerClient, Pool: pool,
@@ -292,6 +295,7 @@
 		OnVerified:           e.configuration.MarkVerified,
 		Rollouts:             e.rollouts,
 		Poison:               e.poison,
+		Backpressure:         e.backpressure,
 		Feeds:                []*feed.Feed{e.feeds.operator, e.feeds.servers, e.feeds.entries},
 		Logger:               n.logger,
 	})
@@ -304,13 +308,13 @@
 	n, bounds := e.node, e.settings.Bounds
 	sidecars := slots.NewClient(nil)
 	sidecars.Logger = n.limiter.Logger(n.logger, "slot connection")
-	sidecarAddress := gateway.SidecarAddress(strconv.Itoa(n.settings.InternalPort))
+	sidecarAddress := gateway.SidecarAddress(strconv.Itoa(n.settings.InternalPort), holder)
 	e.deputy = e.newDeputy(sidecars, sidecarAddress)
 	return gateway.New(gateway.Options{
 		DataCentre: n.settings.DataCentre, Codec: codec, Manifest: holder, Directory: e.directory,
 		Upstream: e.upstream, Slots: sidecars,
 		SidecarAddress: sidecarAddress, DeputyAddress: e.deputy.Address,
-		Rollouts: e.rollouts, Poison: e.poison, Lateness: e.lateness, Entries: e.roster.AliveEntries, Limits: pool,
+		Rollouts: e.rollouts, Poison: e.poison, Backpressure: e.backpressure, Lateness: e.lateness, Entries: e.roster.AliveEntries, Limits: pool,
 		Bounds: gateway.Bounds{
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
@@ -322,7 +326,7 @@
 
 func (e *entryNode) newDeputy(client *slots.Client, sidecarAddress func(fleet.Server) string) *deputy.Deputy {
 	return deputy.New(deputy.Options{
-		ID: e.settings.ID, Entries: e.roster.KnownEntries, Client: client, Logger: e.logger, Limiter: e.limiter,
+		ID: e.settings.ID, Entries: e.roster.KnownEntries, Alive: e.roster.Alive, Client: client, Logger: e.logger, Limiter: e.limiter,
 		Sidecar: func(engine string) (string, bool) {
 			server, registered := e.directory.Server(engine)
 			return sidecarAddress(server), registered
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -69,6 +69,8 @@
 	ReasonUnhealthy
 	// ReasonBarred means that the dispatch was revoked or withdrawn.
 	ReasonBarred
+	// ReasonRateLimit means that the backend server's rate limit doesn't allow the request in time.
+	ReasonRateLimit
 )
 
 func (r Reason) String() string {
@@ -85,6 +87,8 @@
 		return "unhealthy"
 	case ReasonBarred:
 		return "barred"
+	case ReasonRateLimit:
+		return "rate limit"
 	}
 	return "unknown"
 }
--- a/internal/admission/slotpolicy.go
+++ b/internal/admission/slotpolicy.go
@@ -54,19 +54,25 @@
 	if len(q.waiting) == 0 && len(q.running)+q.externalRequests < q.slots() && q.fits(now, t) {
 		return true
 	}
-	ahead := 0
-	ownPriority := q.priority(now, t)
-	for _, other := range q.waiting {
-		if q.priority(now, other).before(ownPriority) {
-			ahead++
-		}
-	}
+	ahead := q.ahead(now, t)
 	slotTime := q.speed.service.value
 	slots := float64(max(q.slotsFor(now, t.request.Rank), 1))
 	wait := secondsToDuration(slotTime / slots * (float64(ahead)/queuesPerRequest + meanRemainingShare) / queuesPerRequest)
 	return now.Add(wait + q.expectedFirstToken(t)).Before(q.latestFirstToken(t))
 }
 
+// ahead returns the number of waiting tickets that go before a ticket.
+func (q *SlotQueue) ahead(now time.Time, t *SlotTicket) int {
+	n := 0
+	ownPriority := q.priority(now, t)
+	for _, other := range q.waiting {
+		if other != t && q.priority(now, other).before(ownPriority) {
+			n++
+		}
+	}
+	return n
+}
+
 // exceedsOverloadWait reports whether a ticket of the lowest tiers has waited longer than
 // allowed in a sustained overload, in which an early refusal lets its caller retry sooner.
 func (q *SlotQueue) exceedsOverloadWait(now time.Time, t *SlotTicket) bool {
@@ -126,7 +132,8 @@
 	if t.request.Objective.IsZero() {
 		p.deadline = t.request.Deadline
 	}
-	if !p.missesObjective && q.runningByRank[p.rank] < q.reservedSlots(p.rank) {
+	// Under a rate limit, slots are no measure of what a tier gets.
+	if !p.missesObjective && !q.pacer.limited() && q.runningByRank[p.rank] < q.reservedSlots(p.rank) {
 		p.rank = topRank
 	}
 	return p
--- a/internal/admission/slotqueue.go
+++ b/internal/admission/slotqueue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -60,6 +61,8 @@
 	failures      mean
 	// consecutiveFailures counts the failed requests since the last success.
 	consecutiveFailures int
+	// pacer keeps the grants within the backend server's rate limit.
+	pacer pacer
 }
 
 // SlotTicket is a request's place in a SlotQueue and, once granted, its slot.
@@ -82,6 +85,8 @@
 
 // Outcome is the result of a request that held a slot, as observed by the entry.
 type Outcome struct {
+	// Unsent reports that the request certainly didn't reach the backend server.
+	Unsent bool
 	// Sent reports whether the request was sent to the backend server.
 	Sent bool
 	// Failed reports whether the backend server failed, aborted the response, sent an invalid
@@ -107,6 +112,9 @@
 	// FailureRate is the exponentially weighted share of recent requests that failed.
 	FailureRate float64
 	Draining    bool
+	// RateLimitWait is how long a further request must wait for the backend server's rate limit. It is
+	// returned by SlotQueue.RateLimitWait.
+	RateLimitWait time.Duration
 }
 
 // ReferencePrompt is the prompt length, in tokens, to which SlotLoad.FirstToken refers.
@@ -175,12 +183,15 @@
 	defer q.mu.Unlock()
 	request.Rank = min(request.Rank, MaxRank)
 	q.arrivals++
+	q.pacer.recordArrival(now, request.Rank)
 	t := &SlotTicket{request: request, decided: make(chan struct{}), arrival: q.arrivals, queued: now}
 	switch {
 	case q.draining:
 		q.refuse(now, t, ReasonDraining)
 	case len(q.waiting) >= maxWaiting:
 		q.refuse(now, t, ReasonShed)
+	case q.pacer.limited() && q.exceedsRateLimit(now, t, q.ahead(now, t)):
+		q.refuse(now, t, ReasonRateLimit)
 	case !q.likelyInTime(now, t), !q.expectsTimelySlot(now, t):
 		q.refuse(now, t, ReasonDeadline)
 	default:
@@ -202,6 +213,21 @@
 func (q *SlotQueue) Withdraw(now time.Time, t *SlotTicket) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if t.state == stateRunning {
+		q.pacer.refund(now)
+	}
+	q.cancel(now, t)
+}
+
+// Abandon cancels a waiting ticket, or frees a granted slot of which it is unknown whether it was
+// used.
+func (q *SlotQueue) Abandon(now time.Time, t *SlotTicket) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.cancel(now, t)
+}
+
+func (q *SlotQueue) cancel(now time.Time, t *SlotTicket) {
 	switch t.state {
 	case stateQueued:
 		q.remove(t)
@@ -220,6 +246,9 @@
 		return
 	}
 	q.releaseSlot(now, t)
+	if outcome.Unsent {
+		q.pacer.refund(now)
+	}
 	if outcome.Sent {
 		q.recordOutcome(now, t, outcome)
 	}
@@ -284,7 +313,7 @@
 	q.expire(now)
 	for len(q.running)+q.externalRequests < q.slots() {
 		t := q.next(now)
-		if t == nil {
+		if t == nil || q.pacer.wait(now, t.request.Rank, 0) > 0 {
 			return
 		}
 		q.grant(now, t)
@@ -294,20 +323,27 @@
 // expire refuses the tickets whose first token can no longer arrive before the deadline or
 // within LateHold of the objective.
 func (q *SlotQueue) expire(now time.Time) {
-	kept := q.waiting[:0]
-	for _, t := range q.waiting {
-		if q.expired(now, t) {
-			q.refuse(now, t, ReasonDeadline)
+	for i := 0; i < len(q.waiting); {
+		t := q.waiting[i]
+		reason := q.expiryReason(now, t)
+		if reason == 0 {
+			i++
 			continue
 		}
-		kept = append(kept, t)
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+		q.refuse(now, t, reason)
 	}
-	clear(q.waiting[len(kept):])
-	q.waiting = kept
 }
 
-func (q *SlotQueue) expired(now time.Time, t *SlotTicket) bool {
-	return !now.Add(q.expectedFirstToken(t)).Before(q.latestFirstToken(t)) || q.exceedsOverloadWait(now, t) || q.isOvertaken(now, t)
+// expiryReason returns why a waiting ticket can no longer be served, or 0.
+func (q *SlotQueue) expiryReason(now time.Time, t *SlotTicket) Reason {
+	switch {
+	case q.exceedsRateLimit(now, t, 0):
+		return ReasonRateLimit
+	case !now.Add(q.expectedFirstToken(t)).Before(q.latestFirstToken(t)), q.exceedsOverloadWait(now, t), q.isOvertaken(now, t):
+		return ReasonDeadline
+	}
+	return 0
 }
 
 func (t *SlotTicket) tokens() int {
@@ -319,6 +355,7 @@
 	q.granted[t.request.Rank].add(now)
 	t.state = stateRunning
 	t.started = now
+	q.pacer.take(now)
 	q.running[t] = struct{}{}
 	q.recentRunning.add(now, len(q.running))
 	q.runningByRank[t.request.Rank]++
@@ -347,6 +384,9 @@
 func (q *SlotQueue) refuse(now time.Time, t *SlotTicket, reason Reason) {
 	t.state = stateRefused
 	t.refusal = &RefusedError{Reason: reason, RetryAfter: q.retryAfter(now, t)}
+	if reason == ReasonRateLimit {
+		t.refusal.RetryAfter = q.pacer.wait(now, t.request.Rank, q.ahead(now, t))
+	}
 	close(t.decided)
 }
 
--- /dev/null
+++ b/internal/backpressure/backpressure.go
@@ -0,0 +1,61 @@
+// Package backpressure keeps what backend servers ask of their callers in their answers: a limit on
+// the rate of requests. It binds all processes, which exchange what they were told. The package
+// doesn't enforce anything and knows no transport.
+package backpressure
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// MinRate is the lowest rate limit that is applied, in requests a second. A server that names a
+	// lower one, or 0, still gets a request now and then: only an answer can lift the limit.
+	MinRate = 1.0 / 60
+	// withdrawnTTL is how long it is remembered that a limit was withdrawn, so that peers learn of it.
+	withdrawnTTL = time.Minute
+	// unregisteredTTL is how long the state of a server that isn't registered is kept.
+	unregisteredTTL = time.Minute
+	// maxServers bounds the servers with kept state.
+	maxServers = 1024
+)
+
+// Notice is what a backend server asks of its callers in one answer.
+type Notice struct {
+	// RateLimit is the rate, in requests a second, that it takes from all callers together; valid if
+	// HasRateLimit is set.
+	RateLimit    float64
+	HasRateLimit bool
+	// RateLimitUnknown says that the answer doesn't tell whether there is a limit. The previous one
+	// then remains.
+	RateLimitUnknown bool
+}
+
+// RateLimit is the rate limit of a backend server.
+type RateLimit struct {
+	// PerSecond is the number of requests a second from all callers together; 0 if there is no limit.
+	PerSecond float64
+	// SaidAt is when the server last said so, and Since when it first named this limit.
+	SaidAt, Since time.Time
+	// By is the id of the process that got the answer.
+	By string
+}
+
+// Options configures a Tracker. All fields are required.
+type Options struct {
+	// ID is the id of this process.
+	ID string
+	// Now returns the current time.
+	Now    func() time.Time
+	Logger zerolog.Logger
+}
+
+// state is what one incarnation of a backend server asks for.
+type state struct {
+	limit   RateLimit
+	updated time.Time
+}
+
+// known reports whether the limit, or its absence, is known.
+func (l RateLimit) known() bool { return !l.SaidAt.IsZero() }
--- /dev/null
+++ b/internal/backpressure/tracker.go
@@ -0,0 +1,127 @@
+package backpressure
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
+)
+
+// Tracker holds what backend servers ask for. It is safe for concurrent use. A nil Tracker holds
+// nothing.
+type Tracker struct {
+	options Options
+
+	mu      sync.Mutex
+	servers map[fleet.Incarnation]*state
+}
+
+// New returns a Tracker that knows of no requests of backend servers.
+func New(options Options) *Tracker {
+	return &Tracker{options: options, servers: map[fleet.Incarnation]*state{}}
+}
+
+// Record records what a backend server asks for in an answer that this process has just received.
+// It reports whether the rate limit has changed.
+func (t *Tracker) Record(server fleet.Incarnation, notice Notice) (changed bool) {
+	if t == nil {
+		return false
+	}
+	now := t.options.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[server]
+	if s == nil {
+		if notice == (Notice{RateLimitUnknown: notice.RateLimitUnknown}) || len(t.servers) >= maxServers {
+			return false
+		}
+		s = &state{}
+		t.servers[server] = s
+	}
+	s.updated = now
+	switch {
+	case notice.HasRateLimit:
+		changed = t.setLimit(server, s, RateLimit{PerSecond: max(notice.RateLimit, MinRate), SaidAt: now, By: t.options.ID})
+	case !notice.RateLimitUnknown && s.limit.PerSecond > 0:
+		changed = t.setLimit(server, s, RateLimit{SaidAt: now, By: t.options.ID})
+	}
+	return changed
+}
+
+// setLimit replaces the limit and reports whether its rate has changed. The caller holds t.mu.
+func (t *Tracker) setLimit(server fleet.Incarnation, s *state, limit RateLimit) bool {
+	previous := s.limit
+	changed := limit.PerSecond != previous.PerSecond
+	limit.Since = previous.Since
+	if changed {
+		limit.Since = limit.SaidAt
+	}
+	s.limit = limit
+	if changed {
+		outcome := "limited"
+		if limit.PerSecond == 0 {
+			outcome = "limit withdrawn"
+		}
+		t.options.Logger.Info().Str("backend_server", server.ID).Float64("requests_per_second", limit.PerSecond).
+			Float64("previous", previous.PerSecond).Dur("age_ms", t.options.Now().Sub(limit.SaidAt)).Str("told", limit.By).
+			Str("outcome", outcome).Msg("backpressure")
+	}
+	return changed
+}
+
+// RateLimit returns the rate limit of a backend server, and whether it or its absence is known.
+func (t *Tracker) RateLimit(server fleet.Incarnation) (RateLimit, bool) {
+	if t == nil {
+		return RateLimit{}, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[server]
+	if s == nil {
+		return RateLimit{}, false
+	}
+	return s.limit, s.limit.known()
+}
+
+// Prune removes the state of servers that haven't been registered for some time.
+func (t *Tracker) Prune(registered func(fleet.Incarnation) bool) {
+	if t == nil {
+		return
+	}
+	now := t.options.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for server, s := range t.servers {
+		switch {
+		case registered(server):
+			s.updated = now
+		case now.Sub(s.updated) > unregisteredTTL:
+			delete(t.servers, server)
+		}
+	}
+}
+
+// Limited is a backend server with a rate limit.
+type Limited struct {
+	Server fleet.Incarnation
+	RateLimit
+	// Age is the time since the server last named the limit.
+	Age time.Duration
+}
+
+// Limited returns the backend servers with a rate limit.
+func (t *Tracker) Limited() []Limited {
+	if t == nil {
+		return nil
+	}
+	now := t.options.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Limited
+	for server, s := range t.servers {
+		if s.limit.PerSecond > 0 {
+			list = append(list, Limited{Server: server, RateLimit: s.limit, Age: max(now.Sub(s.limit.SaidAt), 0)})
+		}
+	}
+	return list
+}
--- a/internal/deputy/deputy.go
+++ b/internal/deputy/deputy.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,11 +27,13 @@
 	// which it is no longer used.
 	recheckInterval = 500 * time.Millisecond
 	resultMaxAge    = 2 * time.Second
+	// minorityRateShare is the largest share of a rate limit that a minority of the entries uses.
+	minorityRateShare = 0.5
 	// entryWeight is the weight of every entry in the choice of a deputy.
 	entryWeight = 1
 )
 
-// Options configures a Deputy. All fields except Limiter are required.
+// Options configures a Deputy. All fields except Alive and Limiter are required.
 type Options struct {
 	// ID is the id of this entry.
 	ID string
@@ -39,8 +42,11 @@
 	// Sidecar returns the address of the sidecar of a registered engine, or "" if it has none. It
 	// reports false if the engine isn't registered.
 	Sidecar func(engine string) (address string, registered bool)
-	Client  *slots.Client
-	Logger  zerolog.Logger
+	// Alive returns the number of live entries, including this one, and whether they are a majority of
+	// the known ones. If nil, all known entries count as alive.
+	Alive  func() (alive int, hasQuorum bool)
+	Client *slots.Client
+	Logger zerolog.Logger
 	// Limiter limits the rate of log lines about connections.
 	Limiter *telemetry.Limiter
 }
@@ -127,7 +133,7 @@
 		u = &duty{deputy: d, engine: engine}
 		u.server = slots.NewServer(slots.ServerOptions{
 			Queue: admission.NewSlotQueue(admission.SlotOptions{}), Refuse: u.refusalReason,
-			Logger: d.options.Logger, Limiter: d.options.Limiter,
+			RateShare: d.rateShare, Logger: d.options.Logger, Limiter: d.options.Limiter,
 		})
 		var ctx context.Context
 		ctx, u.stop = context.WithCancel(context.Background())
@@ -191,18 +197,56 @@
 	case sidecar != "" && d.reachable(slots.Endpoint{Address: sidecar, Engine: engine}):
 		return "its sidecar answers"
 	}
+	if earlier := d.reachableBefore(engine); earlier != "" {
+		return "another entry comes first: " + earlier
+	}
+	return ""
+}
+
+// reachableBefore returns the id of an entry that comes before this one as the deputy of an engine and
+// answers, or "".
+func (d *Deputy) reachableBefore(engine string) string {
 	own := rendezvous.Score(engine, d.options.ID, entryWeight)
+	var checks sync.WaitGroup
+	var first atomic.Pointer[string]
 	for _, entry := range d.options.Entries() {
 		if entry.ID == d.options.ID || rendezvous.Score(engine, entry.ID, entryWeight) < own {
 			continue
 		}
-		if d.reachable(slots.Endpoint{Address: entry.Address, Engine: engine, Deputy: true}) {
-			return "another entry comes first: " + entry.ID
-		}
+		checks.Go(func() {
+			if d.reachable(slots.Endpoint{Address: entry.Address, Engine: engine, Deputy: true}) {
+				first.Store(&entry.ID)
+			}
+		})
+	}
+	checks.Wait()
+	if id := first.Load(); id != nil {
+		return *id
 	}
 	return ""
 }
 
+// reachable checks whether a process answers, also if it is known as lost: a process that is back must
+// not act beside this one for long.
 func (d *Deputy) reachable(endpoint slots.Endpoint) bool {
-	return !d.options.Client.Lost(endpoint.Address) && d.options.Client.Check(context.Background(), endpoint) == nil
+	if d.options.Client.Check(context.Background(), endpoint) != nil {
+		return false
+	}
+	if d.options.Client.Lost(endpoint.Address) {
+		d.options.Client.RecheckLost()
+	}
+	return true
+}
+
+// rateShare returns the share of a rate limit that this entry may use as a deputy. A minority of the
+// entries may have another deputy elsewhere, and uses its part only.
+func (d *Deputy) rateShare() float64 {
+	if d.options.Alive == nil {
+		return 1
+	}
+	alive, hasQuorum := d.options.Alive()
+	if hasQuorum {
+		return 1
+	}
+	return min(float64(alive)/float64(max(len(d.options.Entries()), 1)), minorityRateShare)
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // ServerState is the state that a backend server reports.
 type ServerState int
@@ -31,3 +34,27 @@
 	// is not.
 	ColdUntil time.Time
 }
+
+// Incarnation identifies one lifetime of a backend server, from its start to its end. It is
+// comparable.
+type Incarnation struct {
+	ID string `json:"id"`
+	// StartedMS is the start as a Unix time in milliseconds; 0 if it is unknown.
+	StartedMS int64 `json:"started_ms,omitempty"`
+}
+
+// Incarnation returns the incarnation that is registered.
+func (s Server) Incarnation() Incarnation {
+	i := Incarnation{ID: s.ID}
+	if !s.StartedAt.IsZero() {
+		i.StartedMS = s.StartedAt.UnixMilli()
+	}
+	return i
+}
+
+// Replaces reports whether an incarnation is known to have followed another one.
+func (i Incarnation) Replaces(other Incarnation) bool {
+	return i.StartedMS > other.StartedMS || i.StartedMS == other.StartedMS && i.ID != other.ID
+}
+
+func (i Incarnation) String() string { return i.ID + "@" + strconv.FormatInt(i.StartedMS, 10) }
--- /dev/null
+++ b/internal/gateway/backpressure.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
+	"github.com/lagoonlane/lagoonlane/internal/upstream"
+)
+
+const (
+	// directShare is the share of a rate limit that all entries together may use while no process
+	// grants slots. Each has an equal part of it: entries don't learn of each other's requests in time
+	// to use more.
+	directShare = 0.25
+	// permitTTL is how long a permit for a request without a slot can be used. Permits don't add up
+	// while there is no request, so that the entries don't use theirs at the same time.
+	permitTTL = 2 * time.Second
+)
+
+// recordNotice records what a backend server asks of its callers in an answer, and passes a new rate
+// limit on to the process that granted the slot.
+func (g *Gateway) recordNotice(call *call, placed *placement, answer *upstream.Answer, info AnswerInfo) {
+	if answer.Status == http.StatusMisdirectedRequest {
+		// Another backend server has answered.
+		return
+	}
+	notice, err := g.options.Codec.DecodeNotice(answer.Header)
+	if err != nil {
+		g.metrics.recordMalformedNotice()
+		g.limitedLogger.Warn().Str("request_id", call.info.ID).Str("backend_server", placed.server.ID).Err(err).Msg("malformed header of a backend server")
+	}
+	if !notice.HasRateLimit && (info.NotRun || !info.Signed) {
+		notice.RateLimitUnknown = true
+	}
+	server := placed.server.Incarnation()
+	if g.options.Backpressure.Record(server, notice) && placed.lease != nil {
+		placed.lease.ReportRateLimit(server, g.options.Backpressure.LimitReport(server))
+	}
+}
+
+// rateLimit returns the rate limit of a backend server in requests a second, or 0.
+func (g *Gateway) rateLimit(server fleet.Server) float64 {
+	limit, _ := g.options.Backpressure.RateLimit(server.Incarnation())
+	return limit.PerSecond
+}
+
+// registered reports whether an incarnation of a backend server is registered.
+func (g *Gateway) registered(incarnation fleet.Incarnation) bool {
+	server, ok := g.options.Directory.Server(incarnation.ID)
+	return ok && server.Incarnation() == incarnation
+}
+
+// findPlainServer chooses a server of a plain service. One with a rate limit gets the request only
+// when the process that keeps the limit grants it.
+func (g *Gateway) findPlainServer(ctx context.Context, call *call, list []fleet.Server, options placementOptions) (*placement, *Failure) {
+	var unlimited, candidates []fleet.Server
+	now := time.Now()
+	for _, server := range list {
+		limited := g.rateLimit(server) > 0
+		if !limited {
+			unlimited = append(unlimited, server)
+		}
+		if !limited || g.servers.rateLimitWait(server.ID, now) == 0 {
+			candidates = append(candidates, server)
+		}
+	}
+	if len(unlimited) == 0 {
+		return g.waitForSlot(ctx, call, list, options)
+	}
+	server := g.servers.leastLoaded(candidates, now)
+	if g.rateLimit(server) > 0 {
+		// The others can take the request at once.
+		attempt, cancel := context.WithTimeout(ctx, hedgeAfter)
+		defer cancel()
+		if placed, failure := g.waitForSlot(attempt, call, []fleet.Server{server}, options); failure == nil {
+			return placed, nil
+		}
+		server = g.servers.leastLoaded(unlimited, now)
+	}
+	return &placement{server: server, release: func(admission.Outcome) {}}, nil
+}
+
+// acquireDirect reports whether an engine may get the call without a slot, and counts it.
+func (t *ticketSet) acquireDirect(server fleet.Server) bool {
+	g := t.gateway
+	if limit, _ := g.options.Backpressure.RateLimit(server.Incarnation()); limit.PerSecond > 0 {
+		wait := g.servers.takePermit(server.ID, directShare*limit.PerSecond/float64(max(g.options.Entries(), 1)), time.Now())
+		if wait > 0 {
+			report := g.options.Backpressure.LimitReport(server.Incarnation())
+			t.recordRateLimited(fmt.Sprintf("no process grants slots; rate limit of %g requests a second, named %d ms ago to %s", report.PerSecond, report.AgeMS, report.By), wait)
+			return false
+		}
+	}
+	return g.servers.acquireDirect(server.ID)
+}
+
+// recordRateLimited records a refusal for the rate limit of an engine.
+func (t *ticketSet) recordRateLimited(reason string, retryAfter time.Duration) {
+	t.rateLimited++
+	t.refusalReason = reason
+	t.recordRetryAfter(retryAfter)
+}
+
+// takePermit takes a permit for a request without a slot. If there is none, it returns the time until
+// the next one. Permits come at random times with a mean rate a second.
+func (t *serverTable) takePermit(id string, rate float64, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.get(id)
+	pause := func() time.Duration {
+		return time.Duration(min(rand.ExpFloat64()/rate, time.Hour.Seconds()) * float64(time.Second))
+	}
+	if s.nextPermit.IsZero() {
+		s.nextPermit = now.Add(pause())
+	}
+	if oldest := now.Add(-permitTTL); s.nextPermit.Before(oldest) {
+		s.nextPermit = oldest.Add(pause())
+	}
+	if wait := s.nextPermit.Sub(now); wait > 0 {
+		return wait
+	}
+	s.nextPermit = s.nextPermit.Add(pause())
+	return 0
+}
+
+// rateLimitWait returns how long a server takes no request because of its rate limit, as far as is
+// known.
+func (t *serverTable) rateLimitWait(id string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.get(id).rateLimitWait(now)
+}
+
+func (s *serverStats) rateLimitWait(now time.Time) time.Duration {
+	return max(s.slotLoad.RateLimitWait-now.Sub(s.slotLoadAt), 0)
+}
+
+// observeRateLimits registers gauges for the rate limits of backend servers.
+func (g *Gateway) observeRateLimits(meter metric.Meter) error {
+	if meter == nil {
+		return nil
+	}
+	rate, err := meter.Float64ObservableGauge("lagoonlane_gateway_rate_limit", metric.WithDescription("rate limit that a backend server has named, in requests a second, by the process that it told"))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	age, err := meter.Float64ObservableGauge("lagoonlane_gateway_rate_limit_age", metric.WithUnit("s"), metric.WithDescription("time since a backend server last named its rate limit"))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for _, limited := range g.options.Backpressure.Limited() {
+			attributes := metric.WithAttributes(attribute.String("backend_server", limited.Server.ID), attribute.String("told", limited.By))
+			o.ObserveFloat64(rate, limited.PerSecond, attributes)
+			o.ObserveFloat64(age, limited.Age.Seconds(), attributes)
+		}
+		return nil
+	}, rate, age)
+	return errors.WithStack(err)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -95,6 +95,7 @@
 		return sendResult{verdict: verdictFailed, err: err}
 	}
 	info := g.options.Codec.DecodeAnswer(answer.Header)
+	g.recordNotice(call, placed, answer, info)
 	defer func() {
 		if err := answer.Close(info.KeepAlive); err != nil {
 			g.logger.Info().Str("request_id", call.info.ID).Str("backend_server", placed.server.ID).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/lagoonlane/lagoonlane/internal/backpressure"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/membudget"
@@ -31,8 +32,8 @@
 	Retries      RetryBounds
 }
 
-// Options configures a Gateway. All fields except DeputyAddress, Rollouts, Poison, Lateness,
-// MaxBufferedBytes, Meter, Limiter and Requests are required.
+// Options configures a Gateway. All fields except DeputyAddress, Rollouts, Poison,
+// Backpressure, Lateness, MaxBufferedBytes, Meter, Limiter and Requests are required.
 type Options struct {
 	DataCentre string
 	Codec      Codec
@@ -43,13 +44,16 @@
 	// SidecarAddress returns the address of the sidecar of a backend server, or "" if it has none.
 	SidecarAddress func(fleet.Server) string
 	// DeputyAddress returns the address of the entry that grants the slots of an engine with a lost
-	// sidecar, or "" if there is none. If nil, such engines get requests without slots only.
+	// sidecar, and the requests of a plain server with a rate limit, or "" if there is none. If nil, such
+	// servers get requests without slots only.
 	DeputyAddress func(engine string) string
 	// Rollouts limits versions on trial to their share of requests. If nil, no roll-outs are
 	// supported.
 	Rollouts *rollout.Controller
 	// Poison finds the parts of prompts that crash engines. If nil, no request is kept from engines.
 	Poison *poison.Tracker
+	// Backpressure holds what backend servers ask of their callers. If nil, it isn't heeded.
+	Backpressure *backpressure.Tracker
 	// Lateness measures the scheduling delay of this process. If nil, the delay is taken as 0.
 	Lateness Lateness
 	// Entries returns the number of live entries, including this one.
@@ -97,7 +101,10 @@
 	}
 	var err error
 	g.metrics, err = newMetrics(options.Meter, g.schedulingDelay, g.memory.Used, options.Requests, options.Poison.BlockedParts)
-	return g, err
+	if err != nil {
+		return g, err
+	}
+	return g, g.observeRateLimits(options.Meter)
 }
 
 func (g *Gateway) random() float64 { return rand.Float64() }
@@ -251,6 +258,7 @@
 			return ctx.Err()
 		case now := <-ticker.C:
 			g.servers.prune(g.options.Directory.IDs(), now)
+			g.options.Backpressure.Prune(g.registered)
 		}
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/lagoonlane/lagoonlane/internal/backpressure"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/gateway"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
@@ -63,6 +64,14 @@
 	return gateway.AnswerInfo{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Stamp") != "", Encoded: h.Get("Content-Encoding") != ""}
 }
 
+func (codec) DecodeNotice(h http.Header) (backpressure.Notice, error) {
+	if len(h.Values("Rate-Limit")) == 0 {
+		return backpressure.Notice{}, nil
+	}
+	rate, err := strconv.ParseFloat(h.Get("Rate-Limit"), 64)
+	return backpressure.Notice{RateLimit: rate, HasRateLimit: err == nil, RateLimitUnknown: err != nil}, err
+}
+
 func (codec) EncodeAnswer(h http.Header) http.Header {
 	kept := h.Clone()
 	kept.Del("Transfer-Encoding")
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	firstEvent metric.Float64Histogram
 	slotWait   metric.Float64Histogram
 	badBytes   metric.Int64Counter
+	malformed  metric.Int64Counter
 	placements metric.Int64Counter
 	duration   metric.Float64Histogram
 }
@@ -45,6 +46,9 @@
 	if m.badBytes, err = meter.Int64Counter("lagoonlane_gateway_bad_bytes", metric.WithDescription("exchanges with bytes of backend servers that are no answer or too many, by kind")); err != nil {
 		return nil, errors.WithStack(err)
 	}
+	if m.malformed, err = meter.Int64Counter("lagoonlane_gateway_malformed_notices", metric.WithDescription("answers with a malformed header about what the backend server asks of its callers")); err != nil {
+		return nil, errors.WithStack(err)
+	}
 	if m.placements, err = meter.Int64Counter("lagoonlane_gateway_placements", metric.WithDescription("placements at engines by the process that granted the slot")); err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -118,3 +122,5 @@
 func (m *metrics) recordPlacement(by string) {
 	m.placements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("by", by)))
 }
+
+func (m *metrics) recordMalformedNotice() { m.malformed.Add(context.Background(), 1) }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -23,6 +23,7 @@
 	KindNoServer     Kind = "no-server"
 	KindNoSlot       Kind = "no-slot"
 	KindRejected     Kind = "rejected"
+	KindRateLimited  Kind = "rate-limited"
 	KindFailed       Kind = "failed"
 	KindTimeout      Kind = "timeout"
 	KindCallerLeft   Kind = "caller-left"
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -37,6 +37,8 @@
 type placement struct {
 	server  fleet.Server
 	release func(admission.Outcome)
+	// lease is the slot, or nil if none is held.
+	lease *slots.Lease
 }
 
 // findServer chooses a backend server for a call, and waits for a slot if it has a sidecar.
@@ -81,8 +83,7 @@
 	if call.engine != nil {
 		return g.waitForSlot(ctx, call, list, options)
 	}
-	server := g.servers.leastLoaded(list, time.Now())
-	return &placement{server: server, release: func(admission.Outcome) {}}, nil
+	return g.findPlainServer(ctx, call, list, options)
 }
 
 // ticketResult is the result of one ticket.
@@ -107,8 +108,9 @@
 	maxOpen, maxTotal int
 	options           placementOptions
 	candidates        []candidate
-	// refusals counts the sidecars that expect no slot in time.
-	refusals int
+	// refusals counts the sidecars that expect no slot in time, rateLimited the refusals for the rate
+	// limit of the engine.
+	refusals, rateLimited int
 	// retryAfter is the shortest delay that a sidecar returned.
 	retryAfter    time.Duration
 	refusalReason string
@@ -157,7 +159,7 @@
 		t.candidates = t.candidates[1:]
 		endpoint, ok := t.gateway.slotEndpoint(next.server)
 		if !ok || next.noSlots {
-			if t.options.requireSlot || t.open > 0 || !t.gateway.servers.acquireDirect(next.server.ID) {
+			if t.options.requireSlot || t.open > 0 || !t.acquireDirect(next.server) {
 				continue
 			}
 			return t.placeDirect(next.server)
@@ -201,6 +203,10 @@
 
 func (t *ticketSet) submit(server fleet.Server, endpoint slots.Endpoint) {
 	call := t.call
+	engine := fleet.Engine{}
+	if call.engine != nil {
+		engine = *call.engine
+	}
 	lease, err := t.gateway.options.Slots.Acquire(t.ctx, endpoint, slots.Request{
 		RequestID:     call.info.ID,
 		Account:       call.accountName(),
@@ -212,8 +218,10 @@
 		MaxEventGapMS: call.route.MaxEventGap.Milliseconds(),
 		PromptTokens:  call.info.PromptTokens,
 		OutputTokens:  call.outputTokens(),
-		Slots:         max(server.Slots, call.engine.Slots),
-		MemoryTokens:  call.engine.MemoryTokens,
+		Slots:         max(server.Slots, engine.Slots),
+		MemoryTokens:  engine.MemoryTokens,
+		Server:        server.Incarnation(),
+		RateLimit:     t.gateway.options.Backpressure.LimitReport(server.Incarnation()),
 	}, func(load admission.SlotLoad) { t.gateway.servers.recordSlotLoad(server.ID, load) })
 	t.results <- ticketResult{server: server, lease: lease, err: err}
 }
@@ -227,6 +235,12 @@
 	switch {
 	case errors.As(result.err, &refused) && refused.Reason == slots.ReasonNotResponsible:
 		t.candidates = append(t.candidates, candidate{server: result.server, noSlots: true})
+		// The process that refused may have reached one that is lost for this one.
+		t.gateway.options.Slots.RecheckLost()
+		return nil
+	case errors.As(result.err, &refused) && refused.RateLimit != nil:
+		t.gateway.servers.recordSlotLoad(result.server.ID, refused.Load)
+		t.recordRateLimited(refused.Explain(), refused.RetryAfter)
 		return nil
 	case errors.As(result.err, &refused):
 		t.gateway.servers.recordSlotLoad(result.server.ID, refused.Load)
@@ -238,9 +252,7 @@
 		if t.refusals++; t.refusals >= maxRefusals && t.call.route.Rank > 0 && !t.options.streamStarted {
 			t.candidates = nil
 		}
-		if t.retryAfter == 0 || refused.RetryAfter < t.retryAfter {
-			t.retryAfter = refused.RetryAfter
-		}
+		t.recordRetryAfter(refused.RetryAfter)
 		return nil
 	case errors.As(result.err, &unreachable):
 		t.gateway.limitedLogger.Info().Str("request_id", t.call.info.ID).Str("backend_server", result.server.ID).Err(result.err).Str("outcome", "unreachable").Msg("slot")
@@ -261,7 +273,7 @@
 }
 
 func (g *Gateway) leasedPlacement(server fleet.Server, lease *slots.Lease) *placement {
-	return &placement{server: server, release: func(outcome admission.Outcome) {
+	return &placement{server: server, lease: lease, release: func(outcome admission.Outcome) {
 		g.servers.adjustLeased(server.ID, -1)
 		lease.Finish(outcome)
 	}}
@@ -288,7 +300,18 @@
 	if retryAfter == 0 {
 		retryAfter = defaultRetryAfter
 	}
-	return unavailable(KindNoSlot, retryAfter, "no engine has a slot in time: "+t.refusalReason)
+	kind := KindNoSlot
+	if t.rateLimited > 0 && t.refusals == 0 {
+		kind = KindRateLimited
+	}
+	return unavailable(kind, retryAfter, "no engine has a slot in time: "+t.refusalReason)
+}
+
+// recordRetryAfter keeps the shortest delay that was returned.
+func (t *ticketSet) recordRetryAfter(delay time.Duration) {
+	if t.retryAfter == 0 || delay < t.retryAfter {
+		t.retryAfter = delay
+	}
 }
 
 // sortCandidates puts the engine that prefix affinity selects for a prompt first if it has a free
@@ -314,10 +337,13 @@
 	})
 }
 
-// SidecarAddress returns a function that returns the address of an engine's sidecar. Sidecars
-// listen on the engine's host, on the same port everywhere.
-func SidecarAddress(port string) func(fleet.Server) string {
+// SidecarAddress returns a function that returns the address of an engine's sidecar, or "" if the
+// service has none. Sidecars listen on the engine's host, on the same port everywhere.
+func SidecarAddress(port string, manifest *fleet.Holder) func(fleet.Server) string {
 	return func(server fleet.Server) string {
+		if m, _ := manifest.Current(); m != nil && m.Services[server.Service] != nil && m.Services[server.Service].Engine == nil {
+			return ""
+		}
 		host, _, err := net.SplitHostPort(server.Address)
 		if err != nil {
 			return ""
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -54,6 +53,6 @@
 	g.logger.Info().Str("request_id", call.info.ID).Str("backend_server", server.ID).Str("address", server.Address).
 		Bool("crashed", crashed).Err(err).Msg("check of a backend server after a broken answer")
 	if crashed {
-		g.options.Poison.RecordCrash(server.ID+"@"+strconv.FormatInt(server.StartedAt.UnixMilli(), 10), call.partIDs())
+		g.options.Poison.RecordCrash(server.Incarnation().String(), call.partIDs())
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -113,7 +113,7 @@
 			}
 		}
 		if g.callerProbablyDisconnected(call, p) {
-			placed.release(admission.Outcome{})
+			placed.releaseUnused()
 			return g.finalFailure(ctx, call, p, unavailable(KindOverloaded, staleRetryAfter, "placed after the caller's patience was over"))
 		}
 		if failure := g.checkPrompt(call); failure != nil {
@@ -210,6 +210,7 @@
 	// unless it had been silent for long.
 	cut := ctx.Err() != nil && (result.firstEvent > 0 || time.Since(sent) < call.silenceLimit())
 	outcome := admission.Outcome{
+		Unsent:       result.verdict == verdictUnsent,
 		Sent:         result.verdict == verdictAnswered || result.verdict == verdictFailed,
 		Failed:       result.verdict == verdictFailed && !cut,
 		FirstToken:   result.firstEvent,
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -62,7 +62,9 @@
 	// was reported. A grant reports a new load, so only releases change it.
 	leasedSinceLoad int
 	directRequests  int
-	lastUsed        time.Time
+	// nextPermit is when the next request without a slot may be sent under a rate limit.
+	nextPermit time.Time
+	lastUsed   time.Time
 }
 
 // serverTable holds the measurements of this entry for the backend servers of the directory. It
@@ -330,11 +332,12 @@
 		waiting = 0
 	}
 	busy := float64(running) / float64(slots)
-	free := running < slots && waiting == 0
+	rateLimitWait := s.rateLimitWait(now)
+	free := running < slots && waiting == 0 && rateLimitWait == 0
 	wait := firstEvent*(1+busy) + s.failureRate + s.slotLoad.FailureRate
 	if !free {
 		slotTime := max(s.slotLoad.SlotTime.Seconds(), 0.05)
-		wait += slotTime * float64(waiting+running-slots+1) / float64(slots)
+		wait += max(slotTime*float64(waiting+running-slots+1)/float64(slots), 0) + rateLimitWait.Seconds()
 	}
 	return wait, free
 }
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -171,7 +171,7 @@
 // releaseUnused releases a slot that wasn't used. p may be nil.
 func (p *placement) releaseUnused() {
 	if p != nil {
-		p.release(admission.Outcome{})
+		p.release(admission.Outcome{Unsent: true})
 	}
 }
 
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -7,6 +7,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/lagoonlane/lagoonlane/internal/backpressure"
 )
 
 // PromptPart is one leading part of a prompt. A cached part is useful to an engine only if it
@@ -80,6 +82,9 @@
 	// EncodeDispatch returns the headers for the backend server.
 	EncodeDispatch(caller http.Header, d Dispatch) http.Header
 	DecodeAnswer(h http.Header) AnswerInfo
+	// DecodeNotice returns what a backend server asks of its callers in an answer. It returns the
+	// decodable part together with an error if a header is malformed.
+	DecodeNotice(h http.Header) (backpressure.Notice, error)
 	// EncodeAnswer returns the headers for the caller from those of a backend server's answer.
 	EncodeAnswer(server http.Header) http.Header
 	// EncodeRefusal sets the headers of an answer that the gateway generates itself.
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/lagoonlane/lagoonlane/internal/backpressure"
 	"github.com/lagoonlane/lagoonlane/internal/feed"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/poison"
@@ -35,6 +36,8 @@
 	Feeds map[string]feed.State `json:"feeds,omitempty"`
 	// Poison is what the sender knows of prompt parts that crash engines.
 	Poison *poison.Report `json:"poison,omitempty"`
+	// Backpressure is what the sender knows of the requests of backend servers.
+	Backpressure []backpressure.ServerReport `json:"backpressure,omitempty"`
 	// Reports holds the report of the sender and, in a small roster, the reports of other entries
 	// that are at most maxRelayAge old.
 	Reports []entryReport `json:"uses"`
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/lagoonlane/lagoonlane/internal/backpressure"
 	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/feed"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
@@ -68,7 +69,7 @@
 	HandleReports(id, boot string, reports []rollout.Report, at time.Time)
 }
 
-// Options configures a Roster. All fields except Rollouts, Poison and Feeds are required.
+// Options configures a Roster. All fields except Rollouts, Poison, Backpressure and Feeds are required.
 type Options struct {
 	ID      string
 	Address string
@@ -85,6 +86,8 @@
 	Rollouts Rollouts
 	// Poison may be nil.
 	Poison *poison.Tracker
+	// Backpressure may be nil.
+	Backpressure *backpressure.Tracker
 	// Feeds are the topics of the store that entries pass on to each other.
 	Feeds  []*feed.Feed
 	Logger zerolog.Logger
@@ -168,6 +171,10 @@
 	return n
 }
 
+// Alive returns the number of live entries including this one, and whether they are a majority of the
+// known entries.
+func (r *Roster) Alive() (alive int, hasQuorum bool) { return r.count(time.Now()) }
+
 // count returns the number of live entries including this one, and whether they are a majority
 // of the known entries.
 func (r *Roster) count(now time.Time) (alive int, hasQuorum bool) {
@@ -272,6 +279,7 @@
 	}
 	r.mergeMessage(reply, sentAt)
 	r.options.Poison.HandleReport(reply.ID, reply.Poison, sentSteady)
+	r.options.Backpressure.HandleReport(reply.Backpressure, sentSteady)
 	r.receiveFeeds(ctx, address, reply.Feeds, sentSteady)
 	current := r.options.Configuration()
 	switch {
@@ -336,7 +344,7 @@
 	configuration := r.options.Configuration()
 	msg := message{
 		ID: r.options.ID, Address: r.options.Address, BootID: r.options.BootID,
-		Version: configuration.Version, VerifiedAgeMS: -1, Poison: r.options.Poison.Report(),
+		Version: configuration.Version, VerifiedAgeMS: -1, Poison: r.options.Poison.Report(), Backpressure: r.options.Backpressure.Report(),
 		Reports: []entryReport{{
 			ID: r.options.ID, Address: r.options.Address, BootID: r.options.BootID,
 			UptimeMS: now.Sub(r.startedAt).Milliseconds(), Accounts: r.options.Pool.Report(now),
@@ -413,6 +421,7 @@
 	}
 	r.mergeMessage(&msg, time.Now())
 	r.options.Poison.HandleReport(msg.ID, msg.Poison, steady.Now())
+	r.options.Backpressure.HandleReport(msg.Backpressure, steady.Now())
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(r.newMessage()); err != nil {
 		r.options.Logger.Debug().Str("peer", msg.ID).Err(err).Msg("sending the exchange response failed")
--- a/internal/slots/client.go
+++ b/internal/slots/client.go
@@ -246,6 +246,6 @@
 	}
 	conn.remove(t.number)
 	return nil, errors.WithStack(&RefusedError{
-		Reason: m.Reason, RetryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond, Load: load,
+		Reason: m.Reason, RetryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond, Load: load, RateLimit: m.RateLimit,
 	})
 }
--- a/internal/slots/lease.go
+++ b/internal/slots/lease.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/backpressure"
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
 )
 
 // BeginDirect counts a request that runs at an engine without a slot, until the returned function is
@@ -63,6 +65,12 @@
 	l.conn.conn.send(&message{Kind: kindFinish, Ticket: l.ticket.number, Result: newResult(outcome)})
 }
 
+// ReportRateLimit tells the process that granted the slot the rate limit of its engine. It doesn't
+// block.
+func (l *Lease) ReportRateLimit(server fleet.Incarnation, limit *backpressure.LimitReport) {
+	l.conn.conn.send(&message{Kind: kindRateLimit, Server: &server, RateLimit: limit})
+}
+
 // Abandon releases the slot without an outcome.
 func (l *Lease) Abandon() {
 	l.client.adjustLeases(l.ticket.engine, l.conn, -1)
--- a/internal/slots/message.go
+++ b/internal/slots/message.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/backpressure"
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
 )
 
 const (
@@ -59,6 +61,10 @@
 	// Slots and MemoryTokens are the engine's capacity according to the entry's configuration.
 	Slots        int `json:"slots,omitempty"`
 	MemoryTokens int `json:"memory_tokens,omitempty"`
+	// Server is the engine's incarnation. RateLimit is what the entry knows of its rate limit; nil if
+	// it knows nothing.
+	Server    fleet.Incarnation         `json:"server"`
+	RateLimit *backpressure.LimitReport `json:"rate_limit,omitempty"`
 }
 
 // kind is the type of a message.
@@ -71,6 +77,8 @@
 	kindRequest  kind = "ask"
 	kindFinish   kind = "finish"
 	kindWithdraw kind = "withdraw"
+	// kindRateLimit is sent by an entry that the engine has just told another rate limit.
+	kindRateLimit kind = "rate-limit"
 	// kindQueued, kindGranted and kindRefused are a sidecar's answers to a ticket.
 	kindQueued  kind = "queued"
 	kindGranted kind = "granted"
@@ -96,10 +104,15 @@
 	// Reason and RetryAfterMS are set with kindRefused.
 	Reason       string `json:"reason,omitempty"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	// RateLimit is the engine's rate limit. It is set with kindRateLimit, together with Server, and with
+	// kindRefused if that is the reason.
+	RateLimit *backpressure.LimitReport `json:"rate_limit,omitempty"`
+	Server    *fleet.Incarnation        `json:"server,omitempty"`
 }
 
 // result is the outcome of a request that held a slot.
 type result struct {
+	Unsent       bool  `json:"unsent,omitempty"`
 	Sent         bool  `json:"sent,omitempty"`
 	Failed       bool  `json:"failed,omitempty"`
 	FirstTokenUS int64 `json:"first_token_us,omitempty"`
@@ -107,12 +120,12 @@
 }
 
 func newResult(o admission.Outcome) *result {
-	return &result{Sent: o.Sent, Failed: o.Failed, FirstTokenUS: o.FirstToken.Microseconds(), OutputTokens: o.OutputTokens}
+	return &result{Unsent: o.Unsent, Sent: o.Sent, Failed: o.Failed, FirstTokenUS: o.FirstToken.Microseconds(), OutputTokens: o.OutputTokens}
 }
 
 func (r *result) outcome() admission.Outcome {
 	return admission.Outcome{
-		Sent: r.Sent, Failed: r.Failed, OutputTokens: r.OutputTokens,
+		Unsent: r.Unsent, Sent: r.Sent, Failed: r.Failed, OutputTokens: r.OutputTokens,
 		FirstToken: time.Duration(r.FirstTokenUS) * time.Microsecond,
 	}
 }
@@ -122,10 +135,20 @@
 	Reason     string
 	RetryAfter time.Duration
 	Load       admission.SlotLoad
+	// RateLimit is the engine's rate limit if that is the reason, or nil.
+	RateLimit *backpressure.LimitReport
 }
 
 func (e *RefusedError) Error() string {
-	return fmt.Sprintf("no slot: %s; retry after %v", e.Reason, e.RetryAfter)
+	return fmt.Sprintf("no slot: %s; retry after %v", e.Explain(), e.RetryAfter)
+}
+
+// Explain returns the reason with its inputs.
+func (e *RefusedError) Explain() string {
+	if e.RateLimit == nil {
+		return e.Reason
+	}
+	return fmt.Sprintf("%s of %g requests a second, named %d ms ago to %s", e.Reason, e.RateLimit.PerSecond, e.RateLimit.AgeMS, e.RateLimit.By)
 }
 
 // UnreachableError reports that a sidecar could not be reached or did not answer.
--- a/internal/slots/outage.go
+++ b/internal/slots/outage.go
@@ -33,6 +33,8 @@
 type outage struct {
 	since     time.Time
 	lastAsked time.Time
+	// wake requests a check at once.
+	wake chan struct{}
 }
 
 // Lost reports whether the process at an address doesn't answer at present.
@@ -55,10 +57,11 @@
 	if c.outages.lost[endpoint.Address] != nil || c.ctx.Err() != nil {
 		return
 	}
-	c.outages.lost[endpoint.Address] = &outage{since: now, lastAsked: now}
+	o := &outage{since: now, lastAsked: now, wake: make(chan struct{}, 1)}
+	c.outages.lost[endpoint.Address] = o
 	c.Logger.Warn().Str("dependency", endpoint.dependency()).Str("address", endpoint.Address).Str("backend_server", endpoint.Engine).
 		Err(cause).Msg("dependency lost")
-	c.checks.Go(func() { c.checkUntilAnswered(endpoint) })
+	c.checks.Go(func() { c.checkUntilAnswered(endpoint, o.wake) })
 }
 
 func (e Endpoint) dependency() string {
@@ -68,16 +71,25 @@
 	return "sidecar"
 }
 
+// RecheckLost checks all lost addresses soon. It is called when another process has reached one of
+// them.
+func (c *Client) RecheckLost() {
+	c.outages.mu.Lock()
+	defer c.outages.mu.Unlock()
+	for _, o := range c.outages.lost {
+		select {
+		case o.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // checkUntilAnswered checks a lost endpoint until it answers, nobody has asked about it for
 // outageInterest, or the client is closed.
-func (c *Client) checkUntilAnswered(endpoint Endpoint) {
+func (c *Client) checkUntilAnswered(endpoint Endpoint, wake <-chan struct{}) {
 	for backoff := minCheckBackoff; ; backoff = min(2*backoff, maxCheckBackoff) {
-		timer := time.NewTimer(time.Duration((1 - checkJitter + 2*checkJitter*rand.Float64()) * float64(backoff)))
-		select {
-		case <-c.ctx.Done():
-			timer.Stop()
+		if !c.waitForCheck(backoff, wake) {
 			return
-		case <-timer.C:
 		}
 		if err := c.ping(c.ctx, endpoint); err == nil || c.outages.uninteresting(endpoint.Address) {
 			c.endOutage(endpoint, err)
@@ -86,6 +98,28 @@
 	}
 }
 
+// waitForCheck waits for about a time, or for minCheckBackoff and wake. It reports false if the client
+// is closed.
+func (c *Client) waitForCheck(backoff time.Duration, wake <-chan struct{}) bool {
+	earliest, timer := time.NewTimer(minCheckBackoff), time.NewTimer(time.Duration((1-checkJitter+2*checkJitter*rand.Float64())*float64(backoff)))
+	defer earliest.Stop()
+	defer timer.Stop()
+	select {
+	case <-c.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-earliest.C:
+	}
+	select {
+	case <-c.ctx.Done():
+		return false
+	case <-timer.C:
+	case <-wake:
+	}
+	return true
+}
+
 func (o *outages) uninteresting(address string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -13,6 +13,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/backpressure"
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/telemetry"
 )
 
@@ -37,6 +39,10 @@
 	Waiting int
 	// MemoryTokens is the engine's memory for prompts and answers, in tokens.
 	MemoryTokens int
+	// Notice is what the engine asks of its callers, as far as it could be decoded; NoticeError is why
+	// it couldn't, or nil.
+	Notice      backpressure.Notice
+	NoticeError error
 }
 
 // Probe requests the state of the engine next to the sidecar.
@@ -51,17 +57,21 @@
 	// Refuse returns why this process currently grants no slots of the engine, or "". It may be
 	// nil.
 	Refuse func() string
-	Logger zerolog.Logger
+	// RateShare returns the share of the engine's rate limit that this process may use. If nil, it is
+	// the whole limit.
+	RateShare func() float64
+	Logger    zerolog.Logger
 	// Limiter limits the rate of log lines about connections; may be nil.
 	Limiter *telemetry.Limiter
 }
 
 // Server grants the slots of one engine.
 type Server struct {
-	queue  *admission.SlotQueue
-	probe  Probe
-	refuse func() string
-	logger zerolog.Logger
+	queue     *admission.SlotQueue
+	probe     Probe
+	refuse    func() string
+	rateShare func() float64
+	logger    zerolog.Logger
 	// limitedLogger is the rate-limited logger for lines that a fault can repeat.
 	limitedLogger zerolog.Logger
 
@@ -71,12 +81,18 @@
 	conns map[*serverConn]struct{}
 	// closed is set by Close.
 	closed bool
+	// engine is the incarnation of the engine, and rateLimit its rate limit, as entries and probes have
+	// last reported.
+	engine    fleet.Incarnation
+	rateLimit backpressure.RateLimit
+	// lastProbe is when the engine was last probed.
+	lastProbe time.Time
 }
 
 // NewServer returns a server that initially assumes that its engine is healthy.
 func NewServer(options ServerOptions) *Server {
 	return &Server{
-		queue: options.Queue, probe: options.Probe, refuse: options.Refuse, logger: options.Logger, conns: map[*serverConn]struct{}{},
+		queue: options.Queue, probe: options.Probe, refuse: options.Refuse, rateShare: options.RateShare, logger: options.Logger, conns: map[*serverConn]struct{}{},
 		limitedLogger: options.Limiter.Logger(options.Logger, "slot connection"),
 	}
 }
@@ -99,16 +115,19 @@
 }
 
 func (s *Server) updateEngineState(ctx context.Context, now time.Time) {
-	if s.probe != nil {
+	if s.mayProbe(now) {
 		s.probeEngine(ctx)
 	}
 	s.applyUnaccounted(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyRateLimit(now)
 }
 
 // applyUnaccounted updates the queue with the requests that hold no slot of it, if the engine can't
-// be asked for them.
+// be asked for them often.
 func (s *Server) applyUnaccounted(now time.Time) {
-	if s.probe == nil {
+	if s.probe == nil || s.probesRarely() {
 		s.queue.SetExternalRequests(now, s.unaccounted(now))
 	}
 }
@@ -148,6 +167,7 @@
 	now := time.Now()
 	s.queue.SetCapacity(now, 0, state.MemoryTokens)
 	s.queue.SetReportedRequests(now, state.Running+state.Waiting)
+	s.recordProbe(now, state)
 }
 
 // refusalReason returns why no slots are granted at present, or "".
@@ -239,9 +259,13 @@
 	return errors.Wrap(w.Flush(), "write the upgrade answer")
 }
 
-func (s *Server) logTicket(request *Request, outcome string, load admission.SlotLoad, waited time.Duration) {
-	s.logger.Info().Str("request_id", request.RequestID).Uint32("rank", request.Rank).Int64("objective_ms", request.ObjectiveMS).
-		Int("running", load.Running).Int("slots", load.Slots).Dur("waited_ms", waited).Str("outcome", outcome).Msg("slot")
+func (s *Server) logTicket(request *Request, outcome string, load admission.SlotLoad, waited time.Duration, limit *backpressure.LimitReport) {
+	event := s.logger.Info().Str("request_id", request.RequestID).Uint32("rank", request.Rank).Int64("objective_ms", request.ObjectiveMS).
+		Int("running", load.Running).Int("slots", load.Slots).Dur("waited_ms", waited)
+	if limit != nil {
+		event.Float64("rate_limit", limit.PerSecond).Int64("rate_limit_age_ms", limit.AgeMS).Str("told", limit.By)
+	}
+	event.Str("outcome", outcome).Msg("slot")
 }
 
 // Drain refuses all waiting and later requests for slots.
--- a/internal/slots/serverconn.go
+++ b/internal/slots/serverconn.go
@@ -134,6 +134,8 @@
 		if ticket := c.remove(m.Ticket); ticket != nil {
 			c.server.queue.Withdraw(now, ticket)
 		}
+	case m.Kind == kindRateLimit && m.Server != nil:
+		c.server.recordRateLimit(now, *m.Server, m.RateLimit)
 	}
 }
 
@@ -142,12 +144,13 @@
 func (c *serverConn) submit(now time.Time, number uint64, request *Request) {
 	s := c.server
 	if reason := s.refusalReason(); reason != "" {
-		load := s.queue.Load()
-		s.logTicket(request, reason, load, 0)
+		load := s.load(now)
+		s.logTicket(request, reason, load, 0, nil)
 		c.conn.send(&message{Kind: kindRefused, Ticket: number, Reason: reason, Load: &load})
 		return
 	}
 	s.applyUnaccounted(now)
+	s.recordRateLimit(now, request.Server, request.RateLimit)
 	s.queue.SetCapacity(now, request.Slots, request.MemoryTokens)
 	ticket := s.queue.Submit(now, request.admissionRequest(now))
 	c.add(number, serverTicket{requestID: request.RequestID, slot: ticket})
@@ -157,7 +160,7 @@
 		return
 	default:
 	}
-	load := s.queue.Load()
+	load := s.load(now)
 	c.conn.send(&message{Kind: kindQueued, Ticket: number, Load: &load})
 	go func() {
 		select {
@@ -170,21 +173,26 @@
 
 // sendDecision sends the grant or refusal of a ticket to the entry.
 func (c *serverConn) sendDecision(number uint64, request *Request, ticket *admission.SlotTicket, waited time.Duration) {
-	load := c.server.queue.Load()
+	load := c.server.load(time.Now())
+	limit := c.server.rateLimitReport(time.Now())
 	refusal := ticket.Refusal()
 	switch {
 	case refusal == nil:
-		c.server.logTicket(request, "granted", load, waited)
+		c.server.logTicket(request, "granted", load, waited, limit)
 		c.conn.send(&message{Kind: kindGranted, Ticket: number, Load: &load})
 	case refusal.Reason == admission.ReasonBarred:
 		// The entry withdrew the ticket itself.
 	default:
 		c.remove(number)
-		c.server.logTicket(request, refusal.Reason.String(), load, waited)
-		c.conn.send(&message{
+		c.server.logTicket(request, refusal.Reason.String(), load, waited, limit)
+		answer := &message{
 			Kind: kindRefused, Ticket: number, Reason: refusal.Reason.String(),
 			RetryAfterMS: refusal.RetryAfter.Milliseconds(), Load: &load,
-		})
+		}
+		if refusal.Reason == admission.ReasonRateLimit {
+			answer.RateLimit = limit
+		}
+		c.conn.send(answer)
 	}
 }
 
@@ -195,7 +203,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, ticket := range c.tickets {
-		c.server.queue.Withdraw(now, ticket.slot)
+		c.server.queue.Abandon(now, ticket.slot)
 	}
 }
 
