Send nothing more to a backend server that says in an answer that it is leaving (Server-Leaving)

Cause: a server's leaving was known from its registration only; with the store away, or for a server that never registers as draining, requests went on to it until its connections failed. Of one class with the rate limit: what an answer says of the server wasn't read. The answer itself is delivered unchanged. No answer takes an announced end back; the next incarnation starts without it.

--- a/bench/e2e/ratelimit_test.go
+++ b/bench/e2e/backpressure_test.go
@@ -102,3 +102,23 @@
 		answer.Body.Close()
 	}
 }
+
+// Guards against sending requests to an engine that has said in an answer that it is leaving, while the store, which
+// would say so too, is away (DRAIN).
+func TestEngineThatSaysThatItLeavesGetsNoRequests(t *testing.T) {
+	t.Parallel()
+	s := newPlatformSite(t)
+	counted := &arrivals{}
+	s.engine.Events, s.engine.Ledger = 3, counted
+	s.start(s.sidecar, s.entry)
+	s.store.SetMode(standin.StoreHanging)
+	s.engine.Leaving.Store(true)
+	s.requestStream("leaving")
+	told := time.Now()
+	for i := range 20 {
+		s.requestStream(fmt.Sprint("after-", i))
+		time.Sleep(50 * time.Millisecond)
+	}
+	_, total := counted.most(told, limitWindow)
+	s.c.Check(total, qt.Equals, 0)
+}
--- a/bench/e2e/platform_test.go
+++ b/bench/e2e/platform_test.go
@@ -30,6 +30,7 @@
 // platformSite is an entry and a sidecar for one engine, with a stand-in for the users' platform.
 type platformSite struct {
 	c       *qt.C
+	store   *standin.Store
 	engine  *standin.Server
 	entry   *platformProcess
 	sidecar *platformProcess
@@ -82,7 +83,7 @@
 		Accounts: []standin.Account{{Name: "open", Keys: []string{"key-open"}, Unit: "token_count", DefaultTokens: 1}},
 	})
 	store.PutServer(engine, 1, false)
-	s := &platformSite{c: c, engine: engine}
+	s := &platformSite{c: c, store: store, engine: engine}
 	s.sidecar = s.newProcess("sidecar", standin.Machine{
 		Name: "side", IP: loopbackAddress(2), Engine: engine.Address, Store: listener.Addr().String(), InternalPort: 7600,
 	})
--- a/internal/backpressure/backpressure.go
+++ b/internal/backpressure/backpressure.go
@@ -1,12 +1,14 @@
 // Package backpressure keeps what backend servers ask of their callers in their answers: a limit on
-// the rate of requests. It binds all processes, which exchange what they were told. The package
-// doesn't enforce anything and knows no transport.
+// the rate of requests, or no more requests at all. Both bind all processes, which exchange what they
+// were told. The package doesn't enforce anything and knows no transport.
 package backpressure
 
 import (
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/lagoonlane/lagoonlane/internal/fleet"
 )
 
 const (
@@ -30,6 +32,8 @@
 	// RateLimitUnknown says that the answer doesn't tell whether there is a limit. The previous one
 	// then remains.
 	RateLimitUnknown bool
+	// Leaving says that the server ends soon and takes no more requests.
+	Leaving bool
 }
 
 // RateLimit is the rate limit of a backend server.
@@ -53,9 +57,23 @@
 
 // state is what one incarnation of a backend server asks for.
 type state struct {
-	limit   RateLimit
-	updated time.Time
+	limit RateLimit
+	// leavingAt is when the server first said that it leaves, to the process leavingBy; zero if it
+	// hasn't.
+	leavingAt time.Time
+	leavingBy string
+	updated   time.Time
 }
 
 // known reports whether the limit, or its absence, is known.
 func (l RateLimit) known() bool { return !l.SaidAt.IsZero() }
+
+// Block is the wish of a backend server to get no requests.
+type Block struct {
+	Server fleet.Incarnation
+	// By is the process that the server told that it leaves.
+	By string
+}
+
+// Reason returns why the server wants no requests.
+func (b Block) Reason() string { return "it is leaving, as it told " + b.By }
--- a/internal/backpressure/backpressure_test.go
+++ b/internal/backpressure/backpressure_test.go
@@ -82,3 +82,21 @@
 	tracker.Prune(func(fleet.Incarnation) bool { return false })
 	c.Check(tracker.Limited(), qt.HasLen, 0)
 }
+
+// The announced end of a backend server must bind all processes, and only for that incarnation.
+func TestLeavingServerIsBlockedEverywhere(t *testing.T) {
+	c := qt.New(t)
+	clock := &testClock{now: time.Now()}
+	a, relay, b := clock.tracker("a"), clock.tracker("relay"), clock.tracker("b")
+	a.Record(engine, backpressure.Notice{Leaving: true})
+	a.Record(engine, backpressure.Notice{})
+	relay.HandleReport(a.Report(), clock.now)
+	b.HandleReport(relay.Report(), clock.now)
+	for _, tracker := range []*backpressure.Tracker{a, relay, b} {
+		block, blocked := tracker.Blocked(engine)
+		c.Check(blocked, qt.IsTrue)
+		c.Check(block.By, qt.Equals, "a")
+		_, blocked = tracker.Blocked(fleet.Incarnation{ID: "engine", StartedMS: 2000})
+		c.Check(blocked, qt.IsFalse)
+	}
+}
--- a/internal/backpressure/exchange.go
+++ b/internal/backpressure/exchange.go
@@ -25,6 +25,8 @@
 	Server fleet.Incarnation `json:"server"`
 	// Limit is set if the limit or its absence is known.
 	Limit *LimitReport `json:"limit,omitempty"`
+	// Leaving is set if the server has announced its end.
+	Leaving *LeavingReport `json:"leaving,omitempty"`
 }
 
 // LimitReport describes the rate limit of a backend server.
@@ -37,6 +39,12 @@
 	By string `json:"told,omitempty"`
 }
 
+// LeavingReport describes the announced end of a backend server.
+type LeavingReport struct {
+	AgeMS int64  `json:"age_ms"`
+	By    string `json:"told,omitempty"`
+}
+
 // LimitReport returns the report on the rate limit of a backend server, or nil if nothing is known of
 // it.
 func (t *Tracker) LimitReport(server fleet.Incarnation) *LimitReport {
@@ -82,14 +90,28 @@
 		if s.limit.PerSecond > 0 || s.limit.known() && now.Sub(s.limit.SaidAt) < withdrawnTTL {
 			report.Limit = s.limit.Report(now)
 		}
-		if report.Limit != nil {
+		if !s.leavingAt.IsZero() {
+			report.Leaving = &LeavingReport{AgeMS: max(now.Sub(s.leavingAt).Milliseconds(), 0), By: s.leavingBy}
+		}
+		if report.Limit != nil || report.Leaving != nil {
 			reports = append(reports, report)
 		}
 	}
-	slices.SortFunc(reports, func(a, b ServerReport) int { return cmp.Compare(a.Limit.AgeMS, b.Limit.AgeMS) })
+	slices.SortFunc(reports, func(a, b ServerReport) int { return cmp.Compare(a.age(), b.age()) })
 	return reports[:min(len(reports), maxReported)]
 }
 
+// age returns the age of the latest statement.
+func (r ServerReport) age() int64 {
+	switch {
+	case r.Limit == nil:
+		return r.Leaving.AgeMS
+	case r.Leaving == nil:
+		return r.Limit.AgeMS
+	}
+	return min(r.Limit.AgeMS, r.Leaving.AgeMS)
+}
+
 // HandleReport adopts what a peer knows better, given when the report was made. Invalid parts of the
 // report are ignored.
 func (t *Tracker) HandleReport(reports []ServerReport, at time.Time) {
@@ -105,7 +127,7 @@
 		limit, hasLimit := report.Limit.Limit(at)
 		s := t.servers[report.Server]
 		if s == nil {
-			if len(t.servers) >= maxServers || !hasLimit {
+			if len(t.servers) >= maxServers || !hasLimit && report.Leaving == nil {
 				continue
 			}
 			s = &state{updated: at}
@@ -114,5 +136,8 @@
 		if hasLimit && limit.Newer(s.limit) {
 			t.setLimit(report.Server, s, limit)
 		}
+		if l := report.Leaving; l != nil && l.AgeMS >= 0 && len(l.By) <= maxIDBytes && s.leavingAt.IsZero() {
+			t.setLeaving(report.Server, s, at.Add(-time.Duration(l.AgeMS)*time.Millisecond), l.By)
+		}
 	}
 }
--- a/internal/backpressure/tracker.go
+++ b/internal/backpressure/tracker.go
@@ -45,9 +45,33 @@
 	case !notice.RateLimitUnknown && s.limit.PerSecond > 0:
 		changed = t.setLimit(server, s, RateLimit{SaidAt: now, By: t.options.ID})
 	}
+	if notice.Leaving && s.leavingAt.IsZero() {
+		t.setLeaving(server, s, now, t.options.ID)
+	}
 	return changed
 }
 
+// setLeaving records that a server leaves. The caller holds t.mu.
+func (t *Tracker) setLeaving(server fleet.Incarnation, s *state, at time.Time, by string) {
+	s.leavingAt, s.leavingBy = at, by
+	t.options.Logger.Info().Str("backend_server", server.ID).Str("told", by).Dur("age_ms", t.options.Now().Sub(at)).
+		Str("outcome", "leaving").Msg("backpressure")
+}
+
+// Blocked returns the wish of a backend server to get no requests, if there is one.
+func (t *Tracker) Blocked(server fleet.Incarnation) (Block, bool) {
+	if t == nil {
+		return Block{}, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[server]
+	if s == nil || s.leavingAt.IsZero() {
+		return Block{}, false
+	}
+	return Block{Server: server, By: s.leavingBy}, true
+}
+
 // setLimit replaces the limit and reports whether its rate has changed. The caller holds t.mu.
 func (t *Tracker) setLimit(server fleet.Incarnation, s *state, limit RateLimit) bool {
 	previous := s.limit
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -53,6 +53,29 @@
 	return limit.PerSecond
 }
 
+// accepting returns the backend servers of a list that want requests, or why none does.
+func (g *Gateway) accepting(list []fleet.Server) ([]fleet.Server, *Failure) {
+	var kept []fleet.Server
+	var reason string
+	for _, server := range list {
+		if block, blocked := g.options.Backpressure.Blocked(server.Incarnation()); blocked {
+			reason = "backend server " + server.ID + " wants no requests: " + block.Reason()
+			continue
+		}
+		kept = append(kept, server)
+	}
+	if len(kept) == 0 && reason != "" {
+		return nil, unavailable(KindNoServer, defaultRetryAfter, reason)
+	}
+	return kept, nil
+}
+
+// blocked reports whether a backend server wants no requests.
+func (g *Gateway) blocked(server fleet.Server) bool {
+	_, blocked := g.options.Backpressure.Blocked(server.Incarnation())
+	return blocked
+}
+
 // registered reports whether an incarnation of a backend server is registered.
 func (g *Gateway) registered(incarnation fleet.Incarnation) bool {
 	server, ok := g.options.Directory.Server(incarnation.ID)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -45,7 +45,10 @@
 func (g *Gateway) findServer(ctx context.Context, call *call, p *callProgress) (*placement, *Failure) {
 	now := time.Now()
 	defer func() { p.waited += time.Since(now) }()
-	ready := g.options.Directory.Ready(call.service, now)
+	ready, failure := g.accepting(g.options.Directory.Ready(call.service, now))
+	if failure != nil {
+		return nil, failure
+	}
 	choice := g.options.Rollouts.Choose(call.service, call.route.Name, ready, p.sends > 0, now)
 	if choice.Trial() {
 		trialCtx, cancel := context.WithTimeout(ctx, choice.SlotWait)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -235,5 +235,5 @@
 
 // stillUsable reports whether a backend server may currently get requests.
 func (g *Gateway) stillUsable(server fleet.Server) bool {
-	return g.options.Directory.Usable(server.ID, time.Now()) && !g.options.Rollouts.Blocked(server)
+	return g.options.Directory.Usable(server.ID, time.Now()) && !g.options.Rollouts.Blocked(server) && !g.blocked(server)
 }
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -160,7 +160,11 @@
 	if !g.retryBudget.available(call.service, g.options.Entries(), steady.Now()) {
 		return nil, errRetryBudgetUsed
 	}
-	ready := g.options.Rollouts.Choose(call.service, call.route.Name, g.options.Directory.Ready(call.service, now), true, now).Preferred
+	ready, failure := g.accepting(g.options.Directory.Ready(call.service, now))
+	if failure != nil {
+		return nil, failure
+	}
+	ready = g.options.Rollouts.Choose(call.service, call.route.Name, ready, true, now).Preferred
 	list := g.servers.usable(ready, tried, now)
 	if len(list) == 0 {
 		return nil, unavailable(KindNoServer, defaultRetryAfter, "the service has no other backend server")
