Leave a backend server alone for the time that it asks for when it turns a request away (Retry-After)

Cause: a 503 of a backend server was retried elsewhere, but its Retry-After was read by nobody; the next request went to the same server at once. A sidecar pauses its probes likewise. The tests of these three run one after the other, as their sites share addresses.

--- a/bench/e2e/backpressure_test.go
+++ b/bench/e2e/backpressure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -68,7 +69,6 @@
 
 // Guards against sending an engine several times the request rate that it names in its answers (LIMIT).
 func TestEngineGetsTheRequestRateThatItNames(t *testing.T) {
-	t.Parallel()
 	s := newPlatformSite(t)
 	counted := &arrivals{}
 	limit := namedLimitText
@@ -91,22 +91,30 @@
 	s.c.Check(float64(total) >= served, qt.IsTrue, qt.Commentf("%d requests in %v, at least %.1f expected", total, overloadTime-limitNoticeTime, served))
 }
 
-// requestStream requests a stream and discards the answer, whatever it is.
-func (s *platformSite) requestStream(id string) {
+// streamAnswer is the head of an answer; its status is 0 if there was none.
+type streamAnswer struct {
+	status     int
+	retryAfter time.Duration
+}
+
+// requestStream requests a stream, discards its events and returns the head of the answer.
+func (s *platformSite) requestStream(id string) streamAnswer {
 	callerRequest := standin.CallerRequest{ID: id, Key: "key-open", Timeout: 2 * time.Second, PromptTokens: 100, OutputTokens: 10}
 	r, err := http.NewRequestWithContext(s.c.Context(), http.MethodPost, "http://"+s.entry.machine.Front+"/stream/x", strings.NewReader("prompt"))
 	s.c.Assert(err, qt.IsNil)
 	r.Host, r.Header = standin.Host, callerRequest.Header()
 	answer, err := http.DefaultClient.Do(r)
-	if err == nil {
-		answer.Body.Close()
+	if err != nil {
+		return streamAnswer{}
 	}
+	answer.Body.Close()
+	seconds, _ := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+	return streamAnswer{status: answer.StatusCode, retryAfter: time.Duration(seconds * float64(time.Second))}
 }
 
 // Guards against sending requests to an engine that has said in an answer that it is leaving, while the store, which
 // would say so too, is away (DRAIN).
 func TestEngineThatSaysThatItLeavesGetsNoRequests(t *testing.T) {
-	t.Parallel()
 	s := newPlatformSite(t)
 	counted := &arrivals{}
 	s.engine.Events, s.engine.Ledger = 3, counted
@@ -122,3 +130,26 @@
 	_, total := counted.most(told, limitWindow)
 	s.c.Check(total, qt.Equals, 0)
 }
+
+// Guards against asking an engine again that has turned a request away and said for how long (BUDGET).
+func TestEngineThatTurnsRequestsAwayIsLeftAlone(t *testing.T) {
+	s := newPlatformSite(t)
+	counted := &arrivals{}
+	s.engine.Events, s.engine.Ledger = 3, counted
+	retryAfter := "2.5"
+	s.engine.TurnAway.Store(&retryAfter)
+	s.start(s.sidecar, s.entry)
+	s.requestStream("turned-away")
+	told := time.Now()
+	for i := 0; time.Since(told) < 2300*time.Millisecond; i++ {
+		answer := s.requestStream(fmt.Sprint("after-", i))
+		s.c.Check(answer.status, qt.Equals, http.StatusServiceUnavailable)
+		s.c.Check(answer.retryAfter > 0 && answer.retryAfter <= 2500*time.Millisecond-time.Since(told)+50*time.Millisecond, qt.IsTrue, qt.Commentf("%v after %v", answer.retryAfter, time.Since(told)))
+		time.Sleep(50 * time.Millisecond)
+	}
+	_, total := counted.most(told, limitWindow)
+	s.c.Check(total, qt.Equals, 0)
+	s.engine.TurnAway.Store(nil)
+	time.Sleep(500 * time.Millisecond)
+	s.c.Check(s.requestStream("back").status, qt.Equals, http.StatusOK)
+}
--- a/internal/backpressure/backpressure.go
+++ b/internal/backpressure/backpressure.go
@@ -1,20 +1,21 @@
 // Package backpressure keeps what backend servers ask of their callers in their answers: a limit on
-// the rate of requests, or no more requests at all. Both bind all processes, which exchange what they
-// were told. The package doesn't enforce anything and knows no transport.
+// the rate of requests, a time without requests, or no more requests at all. A limit on the rate and
+// an announced end bind all processes, which exchange what they were told; a time without requests
+// binds the process that was told. The package doesn't enforce anything and knows no transport.
 package backpressure
 
 import (
 	"time"
 
 	"github.com/rs/zerolog"
-
-	"github.com/lagoonlane/lagoonlane/internal/fleet"
 )
 
 const (
 	// MinRate is the lowest rate limit that is applied, in requests a second. A server that names a
 	// lower one, or 0, still gets a request now and then: only an answer can lift the limit.
 	MinRate = 1.0 / 60
+	// MaxPause bounds the time without requests that a backend server can ask for.
+	MaxPause = 24 * time.Hour
 	// withdrawnTTL is how long it is remembered that a limit was withdrawn, so that peers learn of it.
 	withdrawnTTL = time.Minute
 	// unregisteredTTL is how long the state of a server that isn't registered is kept.
@@ -34,6 +35,8 @@
 	RateLimitUnknown bool
 	// Leaving says that the server ends soon and takes no more requests.
 	Leaving bool
+	// Pause is how long the server wants no further requests from this process; 0 if it doesn't say.
+	Pause time.Duration
 }
 
 // RateLimit is the rate limit of a backend server.
@@ -62,7 +65,9 @@
 	// hasn't.
 	leavingAt time.Time
 	leavingBy string
-	updated   time.Time
+	// pausedUntil is when this process may send requests again.
+	pausedUntil time.Time
+	updated     time.Time
 }
 
 // known reports whether the limit, or its absence, is known.
@@ -70,10 +75,16 @@
 
 // Block is the wish of a backend server to get no requests.
 type Block struct {
-	Server fleet.Incarnation
-	// By is the process that the server told that it leaves.
+	// By is the process that the server told that it leaves, or "" if it doesn't leave.
 	By string
+	// Left is how long the server wants no requests, if it doesn't leave.
+	Left time.Duration
 }
 
 // Reason returns why the server wants no requests.
-func (b Block) Reason() string { return "it is leaving, as it told " + b.By }
+func (b Block) Reason() string {
+	if b.By != "" {
+		return "it is leaving, as it told " + b.By
+	}
+	return "it has asked for a pause, of which are left " + b.Left.String()
+}
--- a/internal/backpressure/backpressure_test.go
+++ b/internal/backpressure/backpressure_test.go
@@ -100,3 +100,22 @@
 		c.Check(blocked, qt.IsFalse)
 	}
 }
+
+// A pause binds only the process that was told, for its whole length.
+func TestPauseBindsTheProcessThatWasTold(t *testing.T) {
+	c := qt.New(t)
+	clock := &testClock{now: time.Now()}
+	a, b := clock.tracker("a"), clock.tracker("b")
+	a.Record(engine, backpressure.Notice{Pause: 2500 * time.Millisecond, RateLimitUnknown: true})
+	a.Record(engine, backpressure.Notice{Pause: time.Second, RateLimitUnknown: true})
+	b.HandleReport(a.Report(), clock.now)
+	_, blocked := b.Blocked(engine)
+	c.Check(blocked, qt.IsFalse)
+	clock.now = clock.now.Add(2400 * time.Millisecond)
+	block, blocked := a.Blocked(engine)
+	c.Check(blocked, qt.IsTrue)
+	c.Check(block.Left, qt.Equals, 100*time.Millisecond)
+	clock.now = clock.now.Add(100 * time.Millisecond)
+	_, blocked = a.Blocked(engine)
+	c.Check(blocked, qt.IsFalse)
+}
--- a/internal/backpressure/tracker.go
+++ b/internal/backpressure/tracker.go
@@ -48,6 +48,10 @@
 	if notice.Leaving && s.leavingAt.IsZero() {
 		t.setLeaving(server, s, now, t.options.ID)
 	}
+	if until := now.Add(min(notice.Pause, MaxPause)); notice.Pause > 0 && until.After(s.pausedUntil) {
+		s.pausedUntil = until
+		t.options.Logger.Info().Str("backend_server", server.ID).Dur("for_ms", until.Sub(now)).Str("outcome", "paused").Msg("backpressure")
+	}
 	return changed
 }
 
@@ -63,13 +67,18 @@
 	if t == nil {
 		return Block{}, false
 	}
+	now := t.options.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[server]
-	if s == nil || s.leavingAt.IsZero() {
-		return Block{}, false
+	switch {
+	case s == nil:
+	case !s.leavingAt.IsZero():
+		return Block{By: s.leavingBy}, true
+	case now.Before(s.pausedUntil):
+		return Block{Left: s.pausedUntil.Sub(now)}, true
 	}
-	return Block{Server: server, By: s.leavingBy}, true
+	return Block{}, false
 }
 
 // setLimit replaces the limit and reports whether its rate has changed. The caller holds t.mu.
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -33,7 +33,7 @@
 		// Another backend server has answered.
 		return
 	}
-	notice, err := g.options.Codec.DecodeNotice(answer.Header)
+	notice, err := g.options.Codec.DecodeNotice(answer.Status, answer.Header)
 	if err != nil {
 		g.metrics.recordMalformedNotice()
 		g.limitedLogger.Warn().Str("request_id", call.info.ID).Str("backend_server", placed.server.ID).Err(err).Msg("malformed header of a backend server")
@@ -57,15 +57,23 @@
 func (g *Gateway) accepting(list []fleet.Server) ([]fleet.Server, *Failure) {
 	var kept []fleet.Server
 	var reason string
+	// pause is the shortest time after which one of them wants requests again.
+	pause := time.Duration(0)
 	for _, server := range list {
 		if block, blocked := g.options.Backpressure.Blocked(server.Incarnation()); blocked {
 			reason = "backend server " + server.ID + " wants no requests: " + block.Reason()
+			if block.Left > 0 && (pause == 0 || block.Left < pause) {
+				pause = block.Left
+			}
 			continue
 		}
 		kept = append(kept, server)
 	}
 	if len(kept) == 0 && reason != "" {
-		return nil, unavailable(KindNoServer, defaultRetryAfter, reason)
+		if pause == 0 {
+			pause = defaultRetryAfter
+		}
+		return nil, unavailable(KindNoServer, pause, reason)
 	}
 	return kept, nil
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,7 +64,7 @@
 	return gateway.AnswerInfo{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Stamp") != "", Encoded: h.Get("Content-Encoding") != ""}
 }
 
-func (codec) DecodeNotice(h http.Header) (backpressure.Notice, error) {
+func (codec) DecodeNotice(_ int, h http.Header) (backpressure.Notice, error) {
 	if len(h.Values("Rate-Limit")) == 0 {
 		return backpressure.Notice{}, nil
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -267,7 +267,7 @@
 	}
 	if !t.gateway.stillUsable(result.server) {
 		result.lease.Abandon()
-		t.refusalReason = "draining"
+		t.refusalReason = "no longer usable"
 		return nil
 	}
 	t.gateway.servers.recordSlotLoad(result.server.ID, result.lease.Load)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -84,7 +84,7 @@
 	DecodeAnswer(h http.Header) AnswerInfo
 	// DecodeNotice returns what a backend server asks of its callers in an answer. It returns the
 	// decodable part together with an error if a header is malformed.
-	DecodeNotice(h http.Header) (backpressure.Notice, error)
+	DecodeNotice(status int, h http.Header) (backpressure.Notice, error)
 	// EncodeAnswer returns the headers for the caller from those of a backend server's answer.
 	EncodeAnswer(server http.Header) http.Header
 	// EncodeRefusal sets the headers of an answer that the gateway generates itself.
--- a/internal/slots/ratelimit.go
+++ b/internal/slots/ratelimit.go
@@ -102,7 +102,8 @@
 func (s *Server) mayProbe(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if interval := s.currentProbeInterval(); s.probe == nil || interval > probeInterval && now.Sub(s.lastProbe) < interval {
+	interval := s.currentProbeInterval()
+	if s.probe == nil || now.Before(s.probesPausedUntil) || interval > probeInterval && now.Sub(s.lastProbe) < interval {
 		return false
 	}
 	s.lastProbe = now
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -40,7 +40,7 @@
 	// MemoryTokens is the engine's memory for prompts and answers, in tokens.
 	MemoryTokens int
 	// Notice is what the engine asks of its callers, as far as it could be decoded; NoticeError is why
-	// it couldn't, or nil.
+	// it couldn't, or nil. If it asks for a pause, the other fields are unset.
 	Notice      backpressure.Notice
 	NoticeError error
 }
@@ -87,6 +87,8 @@
 	rateLimit backpressure.RateLimit
 	// lastProbe is when the engine was last probed.
 	lastProbe time.Time
+	// probesPausedUntil is when the engine accepts probes again.
+	probesPausedUntil time.Time
 }
 
 // NewServer returns a server that initially assumes that its engine is healthy.
@@ -165,9 +167,13 @@
 	}
 	s.probeFailures = 0
 	now := time.Now()
+	s.recordProbe(now, state)
+	if state.Notice.Pause > 0 {
+		s.probesPausedUntil = now.Add(min(state.Notice.Pause, backpressure.MaxPause))
+		return
+	}
 	s.queue.SetCapacity(now, 0, state.MemoryTokens)
 	s.queue.SetReportedRequests(now, state.Running+state.Waiting)
-	s.recordProbe(now, state)
 }
 
 // refusalReason returns why no slots are granted at present, or "".
