gateway: a refusal without a request id on a reused connection promises nothing

One without an id was taken for the answer to the next request: the caller was told 'not run' for a request that ran, or it ran at a second server as well. Change: on a connection that has carried requests, such a refusal counts as a broken answer (may have run). On a new connection it is still taken, as nothing can have been refused there before. Our own interface opens a connection for each call and has no such answer.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -111,6 +111,9 @@
 func (g *Gateway) handleAnswer(call *call, p *callProgress, answer *upstream.Answer, info AnswerInfo, sent time.Time, stall *stallWatch) sendResult {
 	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
 	switch {
+	case info.RequestID == "" && answer.Reused && (info.NotRun || answer.Status == http.StatusMisdirectedRequest):
+		// It may be a copy of an earlier refusal.
+		return g.discard(answer, verdictFailed, "a refusal without a request id on a reused connection")
 	case answer.Status == http.StatusMisdirectedRequest:
 		return g.discard(answer, verdictReplaced, "the address belongs to another backend server")
 	case info.NotRun:
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -93,7 +93,7 @@
 		return nil, &BrokenError{Address: address, Reused: c.reused, Cause: err}
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, body: response.Body, serverCloses: response.Close,
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Reused: c.reused, body: response.Body, serverCloses: response.Close,
 		conn: c, client: client, writeResult: writeResult, detachContext: detachContext,
 	}, nil
 }
@@ -191,6 +191,8 @@
 	Header http.Header
 	// Length is the announced length of the body in bytes, or -1 if it is unknown.
 	Length int64
+	// Reused says that the connection had carried requests before.
+	Reused bool
 	body   io.ReadCloser
 	// serverCloses is true if the server closes the connection after the answer.
 	serverCloses bool
