gateway: deliver whole events while the next one is incomplete

Cause: an event was flushed only when no further byte had been received, also if these bytes were no whole event. A caller waited for the rest of an event to see the ones before it. Change: flushing is left to the next event only if it has been received whole. TestWholeEventsAreNotHeldBackByTheNextOne failed before: two events came after 1.0 s, with the rest of the third; now at once.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -63,8 +63,12 @@
 	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferBytes), reservation: reservation, charged: eventBufferBytes}
 }
 
-// buffered returns the number of bytes that have been received but not consumed.
-func (e *eventReader) buffered() int { return e.reader.Buffered() }
+// hasNext reports whether another whole event has been received.
+func (e *eventReader) hasNext() bool {
+	// Peek of no more than the buffered bytes can't fail.
+	received, _ := e.reader.Peek(e.reader.Buffered())
+	return bytes.Contains(received, []byte("\n\n")) || bytes.Contains(received, []byte("\n\r\n"))
+}
 
 // next returns the next event, or io.EOF at the end of a complete stream. Blank lines, comments
 // and unknown fields alone don't form an event; they are returned with the next one. Otherwise a
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -205,7 +205,7 @@
 			last = now
 		}
 		if err == nil && order != eventDuplicate {
-			err = p.relay.writeEvent(event, events.buffered() > 0)
+			err = p.relay.writeEvent(event, events.hasNext())
 		}
 		if err != nil {
 			result.err = err
