gateway: an answer without events of a stream doesn't continue it

Error statuses of the next engine were kept out of a stream that had begun. Not so an error with status 200: its text or object, and an event without an id, were passed on in the middle of the stream, which then ended as if it were complete; so it did when the next engine's answer, without a length, ended with its connection before any event. Change: to continue a stream, an answer must not be declared as another media type, must begin with a numbered event, and must have a framed end if it has no event. A framed empty answer still ends a stream that lacked only its end.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -120,6 +120,8 @@
 		return g.discard(answer, verdictRejected, "rejected without running the request")
 	case success && (!info.Signed || info.Encoded || info.RequestID != call.info.ID):
 		return g.discard(answer, verdictFailed, "not signed by the backend server, encoded, or for another request")
+	case success && p.relay.started && !isEventStream(answer.Header):
+		return g.discard(answer, verdictFailed, "no event stream, to resume one")
 	case success && call.stream():
 		return g.relayEvents(call, p, answer, sent, stall)
 	}
@@ -175,11 +177,15 @@
 	events := newEventReader(answer, call.memory)
 	limit := call.maxEvents()
 	last := time.Time{}
+	resumed := p.relay.started
 	for count := 1; ; count++ {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
+		if err == nil && resumed && result.events == 0 {
+			err = checkResumption(event)
+		}
 		if err == nil && limit > 0 && max(count, p.relay.events+1) > limit && !event.empty {
 			p.tooManyEvents = true
 			err = errors.WithStack(&upstream.ExcessError{Kind: upstream.ExcessEvents, Read: int64(count), Limit: int64(limit)})
@@ -212,7 +218,7 @@
 			return result
 		}
 	}
-	if result.events == 0 && p.relay.lastEventID == "" && call.info.LastEventID == "" {
+	if result.events == 0 && (answer.EndsWithConnection || p.relay.lastEventID == "" && call.info.LastEventID == "") {
 		// A stream without a length ends like this when its engine crashes.
 		result.err = errors.Wrap(io.ErrUnexpectedEOF, "stream without events")
 		return result
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"mime"
 	"net/http"
 	"strconv"
 
@@ -146,6 +148,23 @@
 	return eventNew, nil
 }
 
+// checkResumption checks the first event of the answer with which another backend server goes on with a
+// stream. It fails with *EventOrderError if the event has no id: it may be an error, and can't be told
+// from one.
+func checkResumption(ev event) error {
+	if _, err := strconv.ParseInt(ev.id, 10, 64); err == nil || ev.empty && len(bytes.TrimSpace(ev.data)) == 0 {
+		return nil
+	}
+	return errors.WithStack(&EventOrderError{Problem: "the resumed stream begins without an event id"})
+}
+
+// isEventStream reports whether an answer isn't declared as anything but an event stream.
+func isEventStream(h http.Header) bool {
+	value := h.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(value)
+	return value == "" || err == nil && mediaType == "text/event-stream"
+}
+
 // finish completes a stream.
 func (r *relay) finish() error {
 	r.writeHead()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -93,7 +93,8 @@
 		return nil, &BrokenError{Address: address, Reused: c.reused, Cause: err}
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Reused: c.reused, body: response.Body, serverCloses: response.Close,
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Reused: c.reused,
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0, body: response.Body, serverCloses: response.Close,
 		conn: c, client: client, writeResult: writeResult, detachContext: detachContext,
 	}, nil
 }
@@ -193,7 +194,11 @@
 	Length int64
 	// Reused says that the connection had carried requests before.
 	Reused bool
-	body   io.ReadCloser
+	// EndsWithConnection says that the body has neither a length nor chunks, so that its end looks like
+	// the loss of the connection.
+	EndsWithConnection bool
+
+	body io.ReadCloser
 	// serverCloses is true if the server closes the connection after the answer.
 	serverCloses bool
 	conn         *conn
