sidecar: an answer with another status doesn't continue a broken one

Cause: an engine's answer to the resumption of a broken stream was taken by its call id alone; one with an error status was spliced into the stream, which then ended as if it were complete. Change: the status must be that of the answer that has begun; otherwise the resumption has failed and is tried again, as before. TestErrorIsNoContinuationOfABrokenStream failed before: the error's text was in the stream.

--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -119,7 +119,7 @@
 	reply, err := r.send(ctx)
 	var broken *platform.BrokenCallError
 	if stderrors.As(err, &broken) {
-		reply, err = r.resume(ctx, err)
+		reply, err = r.resume(ctx, anyStatus, err)
 	}
 	if err != nil {
 		return err
@@ -136,7 +136,7 @@
 
 // copyWithResume copies the body and resumes it from an engine after each break.
 func (r *run) copyWithResume(ctx context.Context, reply *platform.Answer) error {
-	for {
+	for status := reply.Status; ; {
 		before := r.receivedBytes
 		err := r.copy(ctx, reply.Body)
 		reply.Body.Close()
@@ -146,7 +146,7 @@
 		if r.receivedBytes > before {
 			r.resumes = 0
 		}
-		if reply, err = r.resume(ctx, err); err != nil {
+		if reply, err = r.resume(ctx, status, err); err != nil {
 			return err
 		}
 	}
@@ -203,19 +203,26 @@
 	return r.answer.append(ctx, &lanepb.Frame{Part: &lanepb.Frame_Chunk{Chunk: chunk}})
 }
 
-// resume requests the rest of a broken answer from the next byte on. It returns the error
-// of the break if the backend server can't resume or after maxResumes attempts without
+// anyStatus is the status of an answer whose head hasn't been received.
+const anyStatus = 0
+
+// resume requests the rest of a broken answer with a status from the next byte on. It returns the
+// error of the break if the backend server can't resume or after maxResumes attempts without
 // progress.
-func (r *run) resume(ctx context.Context, broken error) (*platform.Answer, error) {
+func (r *run) resume(ctx context.Context, status int, broken error) (*platform.Answer, error) {
 	for r.dispatch.server.engine != nil && r.resumes < maxResumes {
 		if !r.waitBeforeResume(ctx) {
 			return nil, broken
 		}
 		r.resumes++
 		reply, err := r.dispatch.server.engine.Resume(ctx, r.dispatch.id, r.receivedBytes)
-		if err == nil {
+		if err == nil && (status == anyStatus || reply.Status == status) {
 			return reply, nil
 		}
+		if err == nil {
+			// Another answer: its body doesn't belong to this one.
+			reply.Body.Close()
+		}
 	}
 	return nil, broken
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -200,6 +200,24 @@
 	})
 }
 
+// An engine that answers the resumption of a broken stream with an error must not have its text spliced into the stream.
+func TestErrorIsNoContinuationOfABrokenStream(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, fx *fixture) {
+		fx.engine.serve = func(ctx context.Context, _ platform.Call) (*platform.Answer, error) {
+			return streamAnswer(&scriptBody{ctx: ctx, parts: []string{"data: 1\n\n"}, err: io.ErrUnexpectedEOF}), nil
+		}
+		fx.engine.resume = func(ctx context.Context, _ string, from uint64) (*platform.Answer, error) {
+			answer := streamAnswer(&scriptBody{ctx: ctx, parts: []string{"error\n\ndata: [DONE]\n\n"}, err: io.EOF})
+			answer.Status = 500
+			return answer, nil
+		}
+		fx.grant("d", "e")
+		frames := fx.dispatch("d", "e")
+		qt.Assert(t, text(frames), qt.Equals, "data: 1\n\n")
+		qt.Assert(t, last(frames).GetEnd(), qt.IsNil)
+	})
+}
+
 func TestCutAnswerEndsAsFault(t *testing.T) {
 	cases := map[string]struct {
 		server string
