sidecar: leave a backend server alone for the time that it asks for when it turns a request away

A backend server's 503 or 429 went to the caller, its Retry-After was read by nobody, and the next request went there at once. Change: the sidecar refuses requests for that backend server until then, and tells entries when it ends; load reports pause too. TestServerThatTurnsRequestsAwayIsLeftAlone failed before: the next request was granted.

--- a/internal/platform/answer.go
+++ b/internal/platform/answer.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -17,6 +19,23 @@
 	maxAnswerBytes = 64 << 20
 )
 
+// maxRetryAfter bounds the time without requests that a backend server can ask for.
+const maxRetryAfter = 24 * time.Hour
+
+// RetryAfter returns how long a backend server that has turned a request away wants no others; 0 if it
+// doesn't say. It returns *ProtocolError if the header isn't a number of seconds.
+func (a *Answer) RetryAfter() (time.Duration, error) {
+	value := a.Header.Get("Retry-After")
+	if value == "" || a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(seconds >= 0) {
+		return 0, errors.WithStack(&ProtocolError{Service: "backend server", Status: a.Status, Detail: "Retry-After is not a number of seconds"})
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)), nil
+}
+
 // protocolError returns a *ProtocolError with the status and the start of the body of resp.
 func protocolError(service string, resp *http.Response) error {
 	detail, err := io.ReadAll(io.LimitReader(resp.Body, maxDetailBytes))
--- a/internal/sidecar/backendserver.go
+++ b/internal/sidecar/backendserver.go
@@ -114,7 +114,9 @@
 	ticker := time.NewTicker(enginePollInterval)
 	defer ticker.Stop()
 	for {
-		s.refreshVersions(ctx, target)
+		if target.health.pauseLeft(time.Now()) == 0 {
+			s.refreshVersions(ctx, target)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -22,6 +22,8 @@
 	failures int
 	// unhealthyUntil is when the backend server counts as healthy again.
 	unhealthyUntil time.Time
+	// pausedUntil is until when the backend server has asked for no requests.
+	pausedUntil time.Time
 }
 
 // recordSuccess records a call that reached the backend server, which makes it healthy.
@@ -42,9 +44,25 @@
 	}
 }
 
+// recordPause records that the backend server wants no requests for a time.
+func (h *health) recordPause(now time.Time, pause time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until := now.Add(pause); until.After(h.pausedUntil) {
+		h.pausedUntil = until
+	}
+}
+
+// pauseLeft returns how long the backend server still wants no requests.
+func (h *health) pauseLeft(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(h.pausedUntil.Sub(now), 0)
+}
+
 // healthy reports whether requests may be sent to the backend server.
 func (h *health) healthy(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !now.Before(h.unhealthyUntil)
+	return !now.Before(h.unhealthyUntil) && !now.Before(h.pausedUntil)
 }
--- a/internal/sidecar/reserve.go
+++ b/internal/sidecar/reserve.go
@@ -29,7 +29,7 @@
 		return s.refusal(nil, lanepb.RefusalReason_REFUSAL_REASON_UNKNOWN_BACKEND_SERVER, 0), nil
 	}
 	if reason, ok := s.checkQueueable(ctx, target, request); !ok {
-		return s.refusal(target, reason, versionRetryAfter), nil
+		return s.refusal(target, reason, max(versionRetryAfter, target.health.pauseLeft(time.Now()))), nil
 	}
 	capped := s.isCapped(target, request)
 	if capped && !target.share.spendCredit(request.GetRoute()) {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -164,9 +164,26 @@
 		Version: r.dispatch.request.GetVersion(),
 	})
 	r.body = nil
+	if err == nil {
+		r.recordPause(reply)
+	}
 	return reply, errors.Wrap(err, "hand over")
 }
 
+// recordPause records the time without requests that the backend server asks for when it turns a
+// request away.
+func (r *run) recordPause(reply *platform.Answer) {
+	pause, err := reply.RetryAfter()
+	if err != nil {
+		r.sidecar.logger.Warn().Err(err).Str("dispatch", r.dispatch.id).Str("backend_server", r.dispatch.server.ID).Msg("malformed header of a backend server")
+	}
+	if pause <= 0 {
+		return
+	}
+	r.dispatch.server.health.recordPause(time.Now(), pause)
+	r.sidecar.logger.Info().Str("dispatch", r.dispatch.id).Str("backend_server", r.dispatch.server.ID).Dur("for_ms", pause).Str("outcome", "paused").Msg("backpressure")
+}
+
 // copy appends the body to the buffer. It returns nil at the end of a complete answer,
 // *IncompleteAnswerError if the body ended or failed before, or the cause of ctx.
 func (r *run) copy(ctx context.Context, body io.Reader) error {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -200,6 +200,25 @@
 	})
 }
 
+// A backend server that turns a request away and says for how long must get no request until then.
+func TestServerThatTurnsRequestsAwayIsLeftAlone(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, fx *fixture) {
+		fx.engine.serve = func(context.Context, platform.Call) (*platform.Answer, error) {
+			answer := textAnswer("full")
+			answer.Status = 503
+			answer.Header.Set("Retry-After", "2.5")
+			return answer, nil
+		}
+		fx.grant("first", "e")
+		fx.dispatch("first", "e")
+		response := fx.reserve(fx.request("second", "e"))
+		qt.Assert(t, response.GetGrant(), qt.IsNil)
+		qt.Assert(t, response.GetRefusal().GetRetryAfterMs() > 2000, qt.IsTrue)
+		time.Sleep(2600 * time.Millisecond)
+		fx.grant("third", "e")
+	})
+}
+
 // An engine that answers the resumption of a broken stream with an error must not have its text spliced into the stream.
 func TestErrorIsNoContinuationOfABrokenStream(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, fx *fixture) {
