gateway: wait some round trips for a limited server of a plain service

An entry short of processor time may take longer than 12 ms to hear from the process that keeps the limit, and would never use that server while others are free.

--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -24,6 +24,9 @@
 	// permitTTL is how long a permit for a request without a slot can be used. Permits don't add up
 	// while there is no request, so that the entries don't use theirs at the same time.
 	permitTTL = 2 * time.Second
+	// plainPermitTimeout is how long a request waits for a limited server of a plain service while others
+	// could take it: some round trips to the process that keeps the limit.
+	plainPermitTimeout = 30 * time.Millisecond
 )
 
 // recordNotice records what a backend server asks of its callers in an answer, and passes a new rate
@@ -110,7 +113,7 @@
 	server := g.servers.leastLoaded(candidates, now)
 	if g.rateLimit(server) > 0 {
 		// The others can take the request at once.
-		attempt, cancel := context.WithTimeout(ctx, hedgeAfter)
+		attempt, cancel := context.WithTimeout(ctx, plainPermitTimeout)
 		defer cancel()
 		if placed, failure := g.waitForSlot(attempt, call, []fleet.Server{server}, options); failure == nil {
 			return placed, nil
