deputy: use a part of a rate limit while the engine's sidecar still serves others

A sidecar that only some entries reach, with the deputy not among them, and the deputy each used the whole limit of their engine. Entries now exchange when the sidecar of a limited engine last granted a slot to any of them; as long as that is recent, a deputy uses 0.4 of the limit, as it does when it hears of a minority only (0.5 before).

--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -331,6 +331,10 @@
 			server, registered := e.directory.Server(engine)
 			return sidecarAddress(server), registered
 		},
+		SidecarActive: func(engine string) bool {
+			server, _ := e.directory.Server(engine)
+			return e.backpressure.SidecarActive(server.Incarnation())
+		},
 	})
 }
 
--- a/internal/backpressure/backpressure.go
+++ b/internal/backpressure/backpressure.go
@@ -18,6 +18,11 @@
 	MaxPause = 24 * time.Hour
 	// withdrawnTTL is how long it is remembered that a limit was withdrawn, so that peers learn of it.
 	withdrawnTTL = time.Minute
+	// minSidecarActive and sidecarActiveRequests are how long after its last grant the sidecar of an engine
+	// with a rate limit counts as active: the longer of a time and that in which the limit allows some
+	// requests.
+	minSidecarActive      = 2 * time.Second
+	sidecarActiveRequests = 2
 	// unregisteredTTL is how long the state of a server that isn't registered is kept.
 	unregisteredTTL = time.Minute
 	// maxServers bounds the servers with kept state.
@@ -67,6 +72,8 @@
 	leavingBy string
 	// pausedUntil is when this process may send requests again.
 	pausedUntil time.Time
+	// grantedAt is when the sidecar of an engine with a rate limit last granted a slot to any process.
+	grantedAt time.Time
 	updated     time.Time
 }
 
--- a/internal/backpressure/exchange.go
+++ b/internal/backpressure/exchange.go
@@ -27,6 +27,9 @@
 	Limit *LimitReport `json:"limit,omitempty"`
 	// Leaving is set if the server has announced its end.
 	Leaving *LeavingReport `json:"leaving,omitempty"`
+	// SidecarGrantAgeMS is the time since the server's sidecar last granted a slot to any process, if it
+	// has a rate limit and is known to have a sidecar.
+	SidecarGrantAgeMS *int64 `json:"sidecar_grant_age_ms,omitempty"`
 }
 
 // LimitReport describes the rate limit of a backend server.
@@ -90,6 +93,10 @@
 		if s.limit.PerSecond > 0 || s.limit.known() && now.Sub(s.limit.SaidAt) < withdrawnTTL {
 			report.Limit = s.limit.Report(now)
 		}
+		if report.Limit != nil && !s.grantedAt.IsZero() {
+			age := max(now.Sub(s.grantedAt).Milliseconds(), 0)
+			report.SidecarGrantAgeMS = &age
+		}
 		if !s.leavingAt.IsZero() {
 			report.Leaving = &LeavingReport{AgeMS: max(now.Sub(s.leavingAt).Milliseconds(), 0), By: s.leavingBy}
 		}
@@ -136,6 +143,11 @@
 		if hasLimit && limit.Newer(s.limit) {
 			t.setLimit(report.Server, s, limit)
 		}
+		if age := report.SidecarGrantAgeMS; age != nil && *age >= 0 {
+			if grantedAt := at.Add(-time.Duration(*age) * time.Millisecond); grantedAt.Sub(s.grantedAt) > relayTolerance {
+				s.grantedAt = grantedAt
+			}
+		}
 		if l := report.Leaving; l != nil && l.AgeMS >= 0 && len(l.By) <= maxIDBytes && s.leavingAt.IsZero() {
 			t.setLeaving(report.Server, s, at.Add(-time.Duration(l.AgeMS)*time.Millisecond), l.By)
 		}
--- a/internal/backpressure/tracker.go
+++ b/internal/backpressure/tracker.go
@@ -116,6 +116,35 @@
 	return s.limit, s.limit.known()
 }
 
+// RecordSidecarGrant records that the sidecar of an engine has granted a slot to this process.
+func (t *Tracker) RecordSidecarGrant(server fleet.Incarnation) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[server]; s != nil && s.limit.PerSecond > 0 {
+		s.grantedAt = t.options.Now()
+	}
+}
+
+// SidecarActive reports whether the sidecar of an engine with a rate limit has granted a slot to any
+// process lately. It may be active although this process doesn't reach it.
+func (t *Tracker) SidecarActive(server fleet.Incarnation) bool {
+	if t == nil {
+		return false
+	}
+	now := t.options.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[server]
+	if s == nil || s.grantedAt.IsZero() || s.limit.PerSecond == 0 {
+		return false
+	}
+	active := max(minSidecarActive, time.Duration(sidecarActiveRequests/s.limit.PerSecond*float64(time.Second)))
+	return now.Sub(s.grantedAt) < active
+}
+
 // Prune removes the state of servers that haven't been registered for some time.
 func (t *Tracker) Prune(registered func(fleet.Incarnation) bool) {
 	if t == nil {
--- a/internal/deputy/deputy.go
+++ b/internal/deputy/deputy.go
@@ -27,13 +27,13 @@
 	// which it is no longer used.
 	recheckInterval = 500 * time.Millisecond
 	resultMaxAge    = 2 * time.Second
-	// minorityRateShare is the largest share of a rate limit that a minority of the entries uses.
-	minorityRateShare = 0.5
+	// partialRateShare is the share of a rate limit that a deputy uses beside another granter.
+	partialRateShare = 0.4
 	// entryWeight is the weight of every entry in the choice of a deputy.
 	entryWeight = 1
 )
 
-// Options configures a Deputy. All fields except Alive and Limiter are required.
+// Options configures a Deputy. All fields except Alive, SidecarActive and Limiter are required.
 type Options struct {
 	// ID is the id of this entry.
 	ID string
@@ -44,9 +44,12 @@
 	Sidecar func(engine string) (address string, registered bool)
 	// Alive returns the number of live entries, including this one, and whether they are a majority of
 	// the known ones. If nil, all known entries count as alive.
-	Alive  func() (alive int, hasQuorum bool)
-	Client *slots.Client
-	Logger zerolog.Logger
+	Alive func() (alive int, hasQuorum bool)
+	// SidecarActive reports whether the sidecar of an engine with a rate limit grants slots to others,
+	// although this entry doesn't reach it. It may be nil.
+	SidecarActive func(engine string) bool
+	Client        *slots.Client
+	Logger        zerolog.Logger
 	// Limiter limits the rate of log lines about connections.
 	Limiter *telemetry.Limiter
 }
@@ -133,7 +136,7 @@
 		u = &duty{deputy: d, engine: engine}
 		u.server = slots.NewServer(slots.ServerOptions{
 			Queue: admission.NewSlotQueue(admission.SlotOptions{}), Refuse: u.refusalReason,
-			RateShare: d.rateShare, Logger: d.options.Logger, Limiter: d.options.Limiter,
+			RateShare: func() float64 { return d.rateShare(engine) }, Logger: d.options.Logger, Limiter: d.options.Limiter,
 		})
 		var ctx context.Context
 		ctx, u.stop = context.WithCancel(context.Background())
@@ -238,15 +241,20 @@
 	return true
 }
 
-// rateShare returns the share of a rate limit that this entry may use as a deputy. A minority of the
-// entries may have another deputy elsewhere, and uses its part only.
-func (d *Deputy) rateShare() float64 {
+// rateShare returns the share of an engine's rate limit that this entry may use as its deputy. It is a
+// part if the sidecar still serves others, or if this entry is in a minority, as the others may have a
+// deputy of their own.
+func (d *Deputy) rateShare(engine string) float64 {
+	share := 1.0
+	if d.options.SidecarActive != nil && d.options.SidecarActive(engine) {
+		share = partialRateShare
+	}
 	if d.options.Alive == nil {
-		return 1
+		return share
 	}
 	alive, hasQuorum := d.options.Alive()
 	if hasQuorum {
-		return 1
+		return share
 	}
-	return min(float64(alive)/float64(max(len(d.options.Entries()), 1)), minorityRateShare)
+	return min(share, partialRateShare, float64(alive)/float64(max(len(d.options.Entries()), 1)))
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -272,6 +272,9 @@
 	}
 	t.gateway.servers.recordSlotLoad(result.server.ID, result.lease.Load)
 	t.gateway.metrics.recordPlacement(result.lease.GrantedBy())
+	if !result.lease.ByDeputy() {
+		t.gateway.options.Backpressure.RecordSidecarGrant(result.server.Incarnation())
+	}
 	return t.gateway.leasedPlacement(result.server, result.lease)
 }
 
--- a/internal/gateway/ratelimit_test.go
+++ b/internal/gateway/ratelimit_test.go
@@ -431,6 +431,10 @@
 			return sidecarOf(server), registered
 		},
 		Alive: func() (int, bool) { return f.alive(id) },
+		SidecarActive: func(engine string) bool {
+			server, _ := f.directory.Server(engine)
+			return e.tracker.SidecarActive(server.Incarnation())
+		},
 	})
 	e.deputy = d
 	mux := http.NewServeMux()
@@ -597,6 +601,17 @@
 				f.cutFor(e.id, "sidecar-of-engine-0", outage)
 			}
 		}},
+		{"sidecar cut off from the deputy and half of the others", bySidecar, func(_ *testing.T, f *limitedFleet) {
+			deputy, others := deputyHost(f), 0
+			for _, e := range f.entries {
+				if e.id != deputy {
+					others++
+				}
+				if e.id == deputy || others%2 == 0 {
+					f.cutFor(e.id, "sidecar-of-engine-0", outage)
+				}
+			}
+		}},
 		{"deputy killed", byDeputy, func(_ *testing.T, f *limitedFleet) {
 			host := f.hosts[deputyHost(f)]
 			host.setDown(true)
--- a/internal/slots/lease.go
+++ b/internal/slots/lease.go
@@ -57,6 +57,9 @@
 // GrantedBy returns the kind of process that granted the slot: "sidecar" or "deputy".
 func (l *Lease) GrantedBy() string { return l.conn.endpoint.dependency() }
 
+// ByDeputy reports whether a deputy granted the slot.
+func (l *Lease) ByDeputy() bool { return l.conn.endpoint.Deputy }
+
 // Finish releases the slot and reports the outcome of the request to the sidecar. It doesn't
 // block.
 func (l *Lease) Finish(outcome admission.Outcome) {
