--- a/internal/backpressure/backpressure.go
+++ b/internal/backpressure/backpressure.go
@@ -74,7 +74,7 @@
 	pausedUntil time.Time
 	// grantedAt is when the sidecar of an engine with a rate limit last granted a slot to any process.
 	grantedAt time.Time
-	updated     time.Time
+	updated   time.Time
 }
 
 // known reports whether the limit, or its absence, is known.
