--- a/internal/gateway/ratelimit_test.go
+++ b/internal/gateway/ratelimit_test.go
@@ -303,6 +303,13 @@
 	return host
 }
 
+// host returns the process at an address, or nil.
+func (f *limitedFleet) host(address string) *limitedHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts[address]
+}
+
 func (f *limitedFleet) startEngine(t *testing.T, id string, mode grantMode) {
 	e := &limitedEngine{id: id, byRank: map[string]int{}}
 	f.engines = append(f.engines, e)
@@ -399,9 +406,7 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
-		f.mu.Lock()
-		host := f.hosts[address]
-		f.mu.Unlock()
+		host := f.host(address)
 		if host == nil {
 			return nil, &net.AddrError{Err: "no listener", Addr: address}
 		}
@@ -585,7 +590,7 @@
 // cut off and restarted, and others take their place.
 func TestRateLimitHoldsWhileGrantersChange(t *testing.T) {
 	const quiet, outage, after = 5 * time.Second, 5 * time.Second, 8 * time.Second
-	sidecar := func(f *limitedFleet) *limitedHost { return f.hosts["sidecar-of-engine-0"] }
+	sidecar := func(f *limitedFleet) *limitedHost { return f.host("sidecar-of-engine-0") }
 	deputyHost := func(f *limitedFleet) string { return f.entries[0].deputy.Address("engine-0") }
 	cases := []struct {
 		name    string
@@ -619,13 +624,13 @@
 			}
 		}},
 		{"deputy killed", byDeputy, func(_ *testing.T, f *limitedFleet) {
-			host := f.hosts[deputyHost(f)]
+			host := f.host(deputyHost(f))
 			host.setDown(true)
 			time.AfterFunc(outage, func() { host.setDown(false) })
 		}},
-		{"deputy frozen", byDeputy, func(_ *testing.T, f *limitedFleet) { f.hosts[deputyHost(f)].freeze(outage) }},
+		{"deputy frozen", byDeputy, func(_ *testing.T, f *limitedFleet) { f.host(deputyHost(f)).freeze(outage) }},
 		{"deputy of a plain service killed", plainService, func(_ *testing.T, f *limitedFleet) {
-			host := f.hosts[deputyHost(f)]
+			host := f.host(deputyHost(f))
 			host.setDown(true)
 			time.AfterFunc(outage, func() { host.setDown(false) })
 		}},
@@ -739,7 +744,9 @@
 					e.name("0.5")
 					f.offer(20, 6*time.Second, 0.2)
 					e.name("")
+					f.mu.Lock()
 					f.hosts["sidecar-of-engine-0b"] = f.hosts["sidecar-of-engine-0"]
+					f.mu.Unlock()
 					f.directory.Put(fleet.Server{ID: id, Service: "model", Address: "engine-0", Slots: limitedSlots, StartedAt: time.Now()})
 					if id != "engine-0" {
 						f.directory.Remove([]string{"engine-0"}, time.Now())
