--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -332,6 +332,7 @@
 			return sidecarAddress(server), registered
 		},
 		SidecarActive: func(engine string) bool {
+			// An engine that isn't registered has the zero incarnation, for which nothing is known.
 			server, _ := e.directory.Server(engine)
 			return e.backpressure.SidecarActive(server.Incarnation())
 		},
