--- a/review/testdata/site/oddentry.go
+++ b/review/testdata/site/oddentry.go
@@ -33,7 +33,7 @@
 	// minServed is the number of requests that a run must serve to count.
 	minServed = 50
 	// observed is how long the entry stays.
-	observed = 30 * time.Second
+	observed = 60 * time.Second
 )
 
 // startLedger starts a small deployment: model engines with their sidecars, servers of the plain service, and
