--- /dev/null
+++ b/review/testdata/stage/poison.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lagoonlane/lagoonlane/platform"
+)
+
+func init() {
+	cases["batch"] = func(b *bed) (bool, error) { return poison(b, batchPlan) }
+	cases["deep"] = func(b *bed) (bool, error) { return poison(b, deepPlan) }
+}
+
+const (
+	poisonEngines = 9
+	engineSlots   = 6
+	// engineBack is how long an engine is down after a crash, prefill the time before its answer begins.
+	engineBack = 2 * time.Second
+	prefill    = 40 * time.Millisecond
+	// crashesBeforeBound and requestsAllowed are those of the rule.
+	crashesBeforeBound = 5
+	requestsAllowed    = 3
+	poisonPart         = "badc0de5"
+)
+
+// poisonPlan says how requests with the part come: rounds of so many at once, apart from each other, with so many shared
+// parts before it.
+type poisonPlan struct {
+	rounds, atOnce, before int
+	pause                  time.Duration
+}
+
+var (
+	batchPlan = poisonPlan{rounds: 6, atOnce: 9, before: 1, pause: 6 * time.Second}
+	deepPlan  = poisonPlan{rounds: 24, atOnce: 1, before: 17, pause: 1500 * time.Millisecond}
+)
+
+// poisonSite counts what reaches the engines.
+type poisonSite struct {
+	b       *bed
+	mu      sync.Mutex
+	crashes []time.Time
+	// late counts the requests with the part that reached an engine later than contact_ms after the fifth crash.
+	late, reached int
+}
+
+// arrived counts a request with the part that has reached an engine.
+func (s *poisonSite) arrived(e *engine, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reached++
+	isLate := len(s.crashes) >= crashesBeforeBound && time.Since(s.crashes[crashesBeforeBound-1]) > contactTime
+	if isLate {
+		s.late++
+	}
+	s.b.note("request %s with the part reaches %s; later than contact_ms after the fifth crash: %v", id, e.id, isLate)
+}
+
+func (s *poisonSite) crash(e *engine) {
+	s.mu.Lock()
+	e.mu.Lock()
+	down := e.server == nil
+	e.mu.Unlock()
+	if down {
+		s.mu.Unlock()
+		return
+	}
+	s.crashes = append(s.crashes, time.Now())
+	n := len(s.crashes)
+	s.mu.Unlock()
+	s.b.note("%s crashes, crash number %d", e.id, n)
+	e.crash()
+	time.AfterFunc(engineBack, func() {
+		if s.b.ctx.Err() != nil {
+			return
+		}
+		gone := e.id
+		e.id = fmt.Sprintf("i-%d-%d", e.index, n)
+		s.b.store.Put(platform.TopicServers, gone, nil)
+		if err := e.start(); err != nil {
+			s.b.note("engine %s is not back: %v", e.id, err)
+		}
+	})
+}
+
+// serve answers a request, or crashes the engine as it begins to write an answer on the part.
+func (s *poisonSite) serve(e *engine, w http.ResponseWriter, r *http.Request, id string) {
+	parts := strings.Split(r.Header.Get(`Lagoonlane-Prefix-Hash`), ",")
+	hasPart := false
+	for _, part := range parts[:len(parts)-1] {
+		hasPart = hasPart || strings.HasPrefix(part, poisonPart+":")
+	}
+	if hasPart {
+		s.arrived(e, id)
+	}
+	time.Sleep(prefill)
+	if hasPart && s.b.trouble {
+		s.crash(e)
+		panic(http.ErrAbortHandler)
+	}
+	e.answerStream(w, r, id, 40, 20*time.Millisecond)
+}
+
+// prompt returns the header of the n-th prompt: shared parts, the given part if it isn't empty, and one of its own.
+func prompt(n, before int, part string) string {
+	var parts []string
+	for i := range before {
+		parts = append(parts, fmt.Sprintf("5c1e07%02x:20", i))
+	}
+	if part != "" {
+		parts = append(parts, part+":20")
+	}
+	return `Lagoonlane-Prefix-Hash: ` + strings.Join(append(parts, fmt.Sprintf("e44%05x:50", n)), ",")
+}
+
+// poison: requests with one part of a prompt crash the engines that begin to answer them.
+func poison(b *bed, plan poisonPlan) (bool, error) {
+	s := &poisonSite{b: b}
+	b.manifest("desk", "model", engineSlots)
+	var processes []*process
+	for i := range poisonEngines {
+		e := &engine{bed: b, id: fmt.Sprintf("i-%d", 20+i), service: "model", index: 20 + i, slots: engineSlots, model: true}
+		e.handle = func(w http.ResponseWriter, r *http.Request, id string) { s.serve(e, w, r, id) }
+		if err := e.start(); err != nil {
+			return false, err
+		}
+		processes = append(processes, b.sidecar(20+i))
+	}
+	entries := []*process{b.entry(10), b.entry(11), b.entry(12)}
+	if err := b.startAll(append(processes, entries...)...); err != nil {
+		return false, err
+	}
+	time.Sleep(contactTime)
+	var all sync.WaitGroup
+	n := 0
+	ask := func(part string) {
+		n++
+		entry, number := entries[n%len(entries)], n
+		all.Go(func() {
+			r := request{id: newID(), method: http.MethodPost, path: "/stream/x", body: "prompt", timeout: 6 * time.Second, headers: []string{
+				`Lagoonlane-Model: m`, fmt.Sprintf(`Lagoonlane-Token-Count: %d,200`, 20*plan.before+70), prompt(number, plan.before, part),
+			}}
+			a := send(entry, r)
+			b.note("request %s, with the part %q, at %s: %v", r.id, part, entry.name, a)
+		})
+	}
+	// Sound requests share the other parts.
+	stop := make(chan struct{})
+	soundDone := make(chan struct{})
+	go func() {
+		defer close(soundDone)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(250 * time.Millisecond):
+				ask("")
+			}
+		}
+	}()
+	_ = io.Discard
+	<-time.After(contactTime)
+	close(stop)
+	<-soundDone
+	for range plan.rounds {
+		for range plan.atOnce {
+			ask(poisonPart)
+		}
+		for waited := time.Duration(0); waited < plan.pause; waited += 250 * time.Millisecond {
+			time.Sleep(250 * time.Millisecond)
+			ask("")
+		}
+	}
+	all.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b.note("%d requests with the part reached engines, %d crashes; %d reached later than contact_ms after the fifth crash, allowed are %d", s.reached, len(s.crashes), s.late, requestsAllowed)
+	return s.late > requestsAllowed, nil
+}
