--- a/review/testdata/stage/client.go
+++ b/review/testdata/stage/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -19,15 +20,17 @@
 // request is a client's request.
 type request struct {
 	id, method, path, body string
-	timeout                time.Duration
-	headers                []string
+	// key is the client's key; empty means clientKey.
+	key     string
+	timeout time.Duration
+	headers []string
 }
 
 // encode returns the bytes of the request.
 func (r request) encode() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.method, r.path, host)
-	fmt.Fprintf(&text, `Lagoonlane-Request-Id: %s`+"\r\n"+`Lagoonlane-Credential: %s`+"\r\n"+`Lagoonlane-Deadline-Ms: %d`+"\r\n", r.id, clientKey, r.timeout.Milliseconds())
+	fmt.Fprintf(&text, `Lagoonlane-Request-Id: %s`+"\r\n"+`Lagoonlane-Credential: %s`+"\r\n"+`Lagoonlane-Deadline-Ms: %d`+"\r\n", r.id, cmp.Or(r.key, clientKey), r.timeout.Milliseconds())
 	for _, line := range r.headers {
 		text.WriteString(line + "\r\n")
 	}
