Review case 10: a completed roll-out is reverted after a return of the store from a copy

Cause: the end of a roll-out is in the store and in the memory of the entries only; a restarted entry tries the version anew.

--- a/review/testdata/stage/engine.go
+++ b/review/testdata/stage/engine.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,9 +19,11 @@
 type engine struct {
 	bed         *bed
 	id, service string
-	index       int
-	slots       int
-	model       bool
+	// version is that of the engine's software; empty means v1.
+	version string
+	index   int
+	slots   int
+	model   bool
 	// handle answers a request that this engine may run; the echo of the id is already set.
 	handle func(w http.ResponseWriter, r *http.Request, id string)
 
@@ -63,7 +66,7 @@
 	e.mu.Lock()
 	e.sequence++
 	value, _ := json.Marshal(map[string]any{
-		"service": e.service, "address": e.address(), "zone": "z", "version": "v1", "slots": e.slots,
+		"service": e.service, "address": e.address(), "zone": "z", "version": cmp.Or(e.version, "v1"), "slots": e.slots,
 		"state": state, "sequence": e.sequence, "cold_left_ms": 0, "born": e.born.UnixMilli(),
 	})
 	e.mu.Unlock()
--- a/review/testdata/stage/main.go
+++ b/review/testdata/stage/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -33,6 +35,13 @@
 		return exitNotRun
 	}
 	defer b.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		b.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[os.Args[1]](b)
 	switch {
 	case err != nil:
