Review: records say what was sent and run, and a script ends in time

Cause: the records lacked the sends and, in cases 8 to 10, the runs; nothing ended a script that hangs; a crashed engine's entry was removed before three liveness intervals of silence had passed.

--- a/review/testdata/stage/bed.go
+++ b/review/testdata/stage/bed.go
@@ -29,6 +29,10 @@
 	enginePort   = 8300
 	internalPort = 7600
 
+	// heartbeat is heartbeat_ms; the entry of a server is removed after registrationLife of silence.
+	heartbeat        = 1200 * time.Millisecond
+	registrationLife = 3 * heartbeat
+
 	startTimeout = 20 * time.Second
 	pollInterval = 50 * time.Millisecond
 	// caseTimeout ends a case that takes too long.
@@ -134,6 +138,8 @@
 	servers      []*http.Server
 	processes    []*process
 
+	closeOnce sync.Once
+
 	mu     sync.Mutex
 	record *os.File
 }
@@ -185,7 +191,9 @@
 }
 
 // close ends everything that the case started.
-func (b *bed) close() {
+func (b *bed) close() { b.closeOnce.Do(b.closeAll) }
+
+func (b *bed) closeAll() {
 	b.cancel()
 	for _, p := range b.processes {
 		p.kill()
--- a/review/testdata/stage/client.go
+++ b/review/testdata/stage/client.go
@@ -62,14 +62,15 @@
 		return answer{err: err}
 	}
 	defer conn.Close()
-	return exchange(conn, bufio.NewReader(conn), r)
+	return exchange(p, conn, bufio.NewReader(conn), r)
 }
 
-// exchange sends a request on an open channel and waits for the answer.
-func exchange(conn net.Conn, reader *bufio.Reader, r request) answer {
+// exchange sends a request on an open channel to an entry and waits for the answer.
+func exchange(p *process, conn net.Conn, reader *bufio.Reader, r request) answer {
 	if err := conn.SetDeadline(time.Now().Add(r.timeout + time.Second)); err != nil {
 		return answer{err: err}
 	}
+	p.bed.note("request %s sent to %s", r.id, p.name)
 	if _, err := io.WriteString(conn, r.encode()); err != nil {
 		return answer{err: err}
 	}
--- a/review/testdata/stage/heads.go
+++ b/review/testdata/stage/heads.go
@@ -102,7 +102,7 @@
 	reader := bufio.NewReader(conn)
 	for i := 0; i < requestsPerChannel && ctx.Err() == nil; i++ {
 		r := request{id: newID(), method: http.MethodPost, path: "/unsafe/x", timeout: ordinaryTimeout, body: strings.Repeat("x", ordinaryBody)}
-		a := exchange(conn, reader, r)
+		a := exchange(entry, conn, reader, r)
 		report(r, a)
 		if a.err != nil || a.header.Get("Connection") == "close" {
 			return
--- a/review/testdata/stage/main.go
+++ b/review/testdata/stage/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -38,7 +39,11 @@
 	stopped := make(chan os.Signal, 1)
 	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
 	go func() {
-		<-stopped
+		select {
+		case <-stopped:
+		case <-time.After(caseTimeout):
+			b.note("the case took too long")
+		}
 		b.close()
 		os.Exit(exitNotRun)
 	}()
--- a/review/testdata/stage/poison.go
+++ b/review/testdata/stage/poison.go
@@ -76,11 +76,11 @@
 	n := len(s.crashes)
 	s.b.note("%s crashes, crash number %d", e.id, n)
 	e.crash()
+	time.AfterFunc(registrationLife, func() { s.b.store.Put(platform.TopicServers, e.id, nil) })
 	time.AfterFunc(engineBack, func() {
 		if s.b.ctx.Err() != nil {
 			return
 		}
-		s.b.store.Put(platform.TopicServers, e.id, nil)
 		if _, err := s.startEngine(fmt.Sprintf("i-%d-%d", e.index, n), e.index); err != nil {
 			s.b.note("no engine at address %d: %v", e.index, err)
 		}
@@ -104,6 +104,7 @@
 	if hasPart {
 		s.arrived(e, id)
 	}
+	s.b.note("request %s runs at %s", id, e.id)
 	time.Sleep(prefill)
 	if hasPart && s.b.trouble {
 		s.crash(e)
--- a/review/testdata/stage/tokens.go
+++ b/review/testdata/stage/tokens.go
@@ -53,6 +53,7 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
+			b.note("request %s runs at %s", id, e.id)
 			e.answerStream(w, r, id, 30, 20*time.Millisecond)
 		}
 		if err := e.start(); err != nil {
