--- a/review/testdata/stage/bed.go
+++ b/review/testdata/stage/bed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -296,21 +294,6 @@
 	}
 }
 
-// peakMB returns the largest resident size of the process so far.
-func (p *process) peakMB() (float64, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(data)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
-			kb, err := strconv.Atoi(strings.Fields(value)[0])
-			return float64(kb) / 1024, err
-		}
-	}
-	return 0, errors.New("no peak size")
-}
-
 // ready reports whether an entry answers its readiness check with 200.
 func (p *process) ready() bool {
 	client := http.Client{Timeout: time.Second}
--- a/review/testdata/stage/engine.go
+++ b/review/testdata/stage/engine.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -126,6 +125,3 @@
 		Accounts: []standin.Account{{Name: tenant, Keys: []string{clientKey}, Unit: "token_count", DefaultTokens: 200}},
 	})
 }
-
-// idsOf joins ids for the record.
-func idsOf(list []string) string { return strings.Join(list, " ") }
