--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 dir=$(cd "$(dirname "$0")" && pwd)
 cd "$dir/../.." || exit 2
 [ -x target/stage ] && [ -x target/lagoonlane ] || { echo "build first: the deploy file's build, and review/build-2.sh" >&2; exit 2; }
-exec target/stage tokens "$dir/record.txt"
+exec target/stage batch "$dir/record.txt"
