Front door: find guarded connections, so that running requests keep theirs

Cause: transport.trackedConn, which wraps the guard's connection at that address only, had no method NetConn, so netpeek.Find didn't find the guard's connection in net/http's hooks, silently. No connection was ever marked as serving, and all of its bytes counted as one incomplete head.

Change: trackedConn unwraps. Find returns a typed error; the guard closes a connection that its hooks don't find, with an error line and a metric, and Connections logs it. TestHandlerPanicIsLogged served without the guarded listener that its hooks need, and does now. The stand-in of a plain service takes bodies of 8 MB, the largest of a route without a limit.

--- a/bench/e2e/site_test.go
+++ b/bench/e2e/site_test.go
@@ -58,10 +58,13 @@
 }
 
 // newSite starts the small Budapest deployment and applies its configuration.
-func newSite(t *testing.T) *site {
+func newSite(t *testing.T) *site { return newSiteWithLatency(t, ledgerLatency) }
+
+// newSiteWithLatency is newSite with another duration of an operation.
+func newSiteWithLatency(t *testing.T, latency time.Duration) *site {
 	c := qt.New(t)
 	spec := deploy.Budapest(binDir, c.TempDir())
-	spec.ServiceLatency = ledgerLatency
+	spec.ServiceLatency = latency
 	d, err := deploy.Start(t.Context(), spec)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(d.Close)
--- a/bench/standin/service/service.go
+++ b/bench/standin/service/service.go
@@ -18,7 +18,7 @@
 // id is taken from the field "operation" of a JSON body.
 const HeaderOperation = "X-Operation"
 
-const maxBodyBytes = 4 << 20
+const maxBodyBytes = 8 << 20
 
 // Options configure a plain service.
 type Options struct {
--- a/cmd/lagoonlane/lifecyclelog_test.go
+++ b/cmd/lagoonlane/lifecyclelog_test.go
@@ -241,6 +241,7 @@
 	c.Assert(err, qt.IsNil)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("a fault") }))
 	processLog.configureServer(server.Config, "front")
+	server.Listener = processLog.wrapListener(server.Listener, "")
 	server.Start()
 	_, err = http.Get(server.URL)
 	c.Assert(err, qt.IsNotNil)
--- a/internal/connguard/connguard.go
+++ b/internal/connguard/connguard.go
@@ -48,6 +48,7 @@
 	reasonHead        = "its head is too large"
 	reasonTotalHeads  = "the incomplete heads are too large together"
 	reasonConnections = "there are too many connections"
+	reasonUnguarded   = "it does not come from a guarded listener"
 )
 
 // LimitError reports that a connection was closed for a limit.
@@ -88,10 +89,12 @@
 		if nextContext != nil {
 			ctx = nextContext(ctx, raw)
 		}
-		if c, ok := netpeek.Find[*conn](raw); ok {
-			ctx = context.WithValue(ctx, connKey{}, c)
+		c, err := netpeek.Find[*conn](raw)
+		if err != nil {
+			g.refuseUnguarded(raw, err)
+			return ctx
 		}
-		return ctx
+		return context.WithValue(ctx, connKey{}, c)
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// net/http doesn't report a request as active whose bytes all came with the one before.
@@ -101,7 +104,8 @@
 		handler.ServeHTTP(w, r)
 	})
 	server.ConnState = func(raw net.Conn, state http.ConnState) {
-		if c, ok := netpeek.Find[*conn](raw); ok {
+		// A connection that isn't found is closed by ConnContext.
+		if c, err := netpeek.Find[*conn](raw); err == nil {
 			c.setState(state)
 		}
 		if next != nil {
@@ -210,6 +214,16 @@
 	return nil
 }
 
+// refuseUnguarded closes a connection whose states the guard doesn't see. It would be served without limits, or closed
+// while its request runs.
+func (g *Guard) refuseUnguarded(raw net.Conn, cause error) {
+	g.closed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("listener", g.options.Name), attribute.String("reason", reasonUnguarded)))
+	g.options.Logger.Error().Str("listener", g.options.Name).Str("client", raw.RemoteAddr().String()).Err(cause).
+		Str("reason", reasonUnguarded).Str("outcome", "closed").Msg("client connection")
+	// The goroutine that reads from the connection reports the error.
+	_ = raw.Close()
+}
+
 // close closes a connection that gives way.
 func (g *Guard) close(c *conn, reason string) {
 	g.report(c, reason)
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -89,8 +89,10 @@
 func (c *Connections) Observe(server *http.Server) {
 	nextState, nextContext := server.ConnState, server.ConnContext
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
-		if tracked, ok := netpeek.Find[*trackedConn](conn); ok {
+		if tracked, err := netpeek.Find[*trackedConn](conn); err == nil {
 			tracked.setState(state)
+		} else if state == http.StateNew {
+			c.logger.Error().Err(err).Str("peer", conn.RemoteAddr().String()).Str("outcome", "not tracked").Msg("connection")
 		}
 		if nextState != nil {
 			nextState(conn, state)
@@ -100,7 +102,8 @@
 		if nextContext != nil {
 			ctx = nextContext(ctx, conn)
 		}
-		if tracked, ok := netpeek.Find[*trackedConn](conn); ok {
+		// A connection that isn't found has been logged when it was new.
+		if tracked, err := netpeek.Find[*trackedConn](conn); err == nil {
 			ctx, tracked.cancel = context.WithCancelCause(ctx)
 			ctx = context.WithValue(ctx, connKey{}, tracked)
 		}
@@ -216,6 +219,9 @@
 	return t.Conn.Close()
 }
 
+// NetConn returns the wrapped connection.
+func (t *trackedConn) NetConn() net.Conn { return t.Conn }
+
 // CloseWrite shuts down the writing side. The server uses it to send remaining data before it
 // closes the connection.
 func (t *trackedConn) CloseWrite() error {
