Connections: each phase of a request ends, also if the client never goes on

Seen: 1,000 clients that announce a body and don't send it, or hold the connection of another protocol, kept an entry or sidecar from taking others (an ordinary request beside them and afterwards got EOF). A refusal that is written before its body was read waited for that body without end. A client that left behind pipelined requests kept its running request at work.

Cause: a connection counted as serving from the end of its head on, and for good once it was taken over. net/http reads up to 256 KB of an unread body before it writes an answer, without a deadline; its check for a client that has left stops at the first pipelined byte; writes at the addresses between processes had no deadline.

Change: a request whose body isn't complete gives way after incomplete heads, as it hasn't been passed on; a connection of another protocol gives way while it has no tickets. An answer waits 500 ms for an unread body, a write without a deadline of its own 10 s for progress. A connection ends after 64 requests in a row that came before the answers of those before, and its running request with the client. Who gives way is found in constant or logarithmic time, not by a walk through all connections under the lock. The guard also bounds the running requests of all HTTP/2 connections together and reads no more from one whose peer doesn't read. OPTIONS * is handled like any other request.

--- a/bench/crowd/crowd.go
+++ b/bench/crowd/crowd.go
@@ -29,6 +29,8 @@
 	head, repeat string
 	// pause is the time between two repetitions.
 	pause time.Duration
+	// repeats returns what is sent in the place of repeat, if it is set: the i-th part of what a client sends.
+	repeats func(i int) string
 	// reset says that the client closes its connection with unread bytes, again and again.
 	reset bool
 }
@@ -61,6 +63,28 @@
 	}
 }
 
+// Waiting returns the crowds of more clients than a process takes connections, which hold them behind a whole head, and
+// those that send requests without reading the answers. Accepted and refused are the heads of requests that a server
+// accepts, and refuses before it reads their body, without a length and an end.
+func Waiting(accepted, refused string) []Crowd {
+	return []Crowd{
+		{Name: "bodies that are not sent, more than connections", clients: silent, head: accepted + "Content-Length: 1000000\r\n\r\n"},
+		{Name: "bodies of refused requests that are not sent", clients: silent, head: refused + "Content-Length: 1000000\r\n\r\n"},
+		{Name: "a byte of a refused body now and then", clients: silent, head: refused + "Content-Length: 1000000\r\n\r\n", repeat: "x", pause: 100 * time.Millisecond},
+		{Name: "refusals that are not read", clients: senders, repeat: refused + "Content-Length: 0\r\n\r\n"},
+	}
+}
+
+// Unread returns the crowd whose clients send a request again and again and read no answer.
+func Unread(request string) Crowd {
+	return Crowd{Name: "answers that are not read", clients: senders, repeat: request + "\r\n"}
+}
+
+// TakenOver returns the crowd whose clients have a request answered with another protocol and send nothing in it.
+func TakenOver(path, protocol string) Crowd {
+	return Crowd{Name: "connections of another protocol", clients: silent, head: "GET " + path + " HTTP/1.1\r\nHost: s\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n\r\n"}
+}
+
 // Hold opens the connections of a crowd, sends on them and keeps them until ctx ends.
 func (w Crowd) Hold(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, holdTime)
@@ -91,10 +115,15 @@
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		return
 	}
-	for sent := 0; w.repeat != "" && sent < maxBytes; sent += len(w.repeat) {
-		if _, err := io.WriteString(conn, w.repeat); err != nil {
+	for i, sent := 0, 0; (w.repeat != "" || w.repeats != nil) && sent < maxBytes; i++ {
+		text := w.repeat
+		if w.repeats != nil {
+			text = w.repeats(i)
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
 			return
 		}
+		sent += len(text)
 		if w.pause > 0 {
 			select {
 			case <-ctx.Done():
--- a/cmd/lagoonlane/connections.go
+++ b/cmd/lagoonlane/connections.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"golang.org/x/sys/unix"
 
+	"github.com/lagoonlane/lagoonlane/internal/callerconn"
 	"github.com/lagoonlane/lagoonlane/internal/connguard"
 )
 
@@ -33,6 +34,10 @@
 	internalHeadBytes = 80 << 10
 	// ownBufferedBytesShare is the share of the memory for request bodies on our own interface.
 	ownBufferedBytesShare = 0.375
+	// streamBytes is the memory of a running request of HTTP/2: its goroutines, buffers and header. internalStreamsShare
+	// is the share of the memory for those without a peer key.
+	streamBytes          = 32 << 10
+	internalStreamsShare = 0.05
 	// defaultMemoryBytes is assumed if the memory of the machine isn't known, and defaultDescriptors if the number
 	// of descriptors isn't.
 	defaultMemoryBytes = 256 << 20
@@ -46,6 +51,8 @@
 type machineLimits struct {
 	memoryBytes int64
 	descriptors int
+	// openStreams says that HTTP/2 requests need no peer key, and are bounded by their number.
+	openStreams bool
 }
 
 // newConnectionGuards returns guards within the limits of a machine. publicHeadBytes returns the largest head of a caller.
@@ -56,22 +63,27 @@
 	if limits.descriptors <= 0 {
 		limits.descriptors = openFileLimit()
 	}
-	newGuard := func(name string, headBytes func() int64, descriptors, connections, heads float64) (*connguard.Guard, error) {
+	internalStreams := int64(0)
+	if limits.openStreams {
+		internalStreams = int64(internalStreamsShare * float64(limits.memoryBytes) / streamBytes)
+	}
+	newGuard := func(name string, headBytes func() int64, descriptors, connections, heads float64, streams int64) (*connguard.Guard, error) {
 		return connguard.New(connguard.Options{
 			Name: name, Logger: logger, Meter: meter,
 			Limits: connguard.Limits{
 				Connections:    max(1, int(min(descriptors*float64(limits.descriptors), connections*float64(limits.memoryBytes)/connectionBytes))),
 				HeadBytes:      headBytes,
 				TotalHeadBytes: int64(heads * float64(limits.memoryBytes)),
+				Streams:        streams,
 			},
 		})
 	}
 	var guards connectionGuards
 	var err error
-	if guards.public, err = newGuard("public", publicHeadBytes, publicDescriptorShare, publicConnectionsShare, publicHeadsShare); err != nil {
+	if guards.public, err = newGuard("public", publicHeadBytes, publicDescriptorShare, publicConnectionsShare, publicHeadsShare, 0); err != nil {
 		return guards, err
 	}
-	guards.internal, err = newGuard("internal", func() int64 { return internalHeadBytes }, internalDescriptorShare, internalConnectionsShare, internalHeadsShare)
+	guards.internal, err = newGuard("internal", func() int64 { return internalHeadBytes }, internalDescriptorShare, internalConnectionsShare, internalHeadsShare, internalStreams)
 	return guards, errors.WithMessage(err, "connection guards")
 }
 
@@ -84,11 +96,12 @@
 	return int(limit.Cur)
 }
 
-// protect makes a server report its connections to a guard. Its handler must be set.
-func (g connectionGuards) protect(server *http.Server, public bool) {
-	if public {
-		g.public.Protect(server)
-		return
-	}
+// protectPublic makes the server of a front door report its connections to a guard. Its handler must be set.
+func (g connectionGuards) protectPublic(server *http.Server) { g.public.Protect(server) }
+
+// protectInternal is protectPublic for the servers of the other addresses. These have no callerconn.Server, which bounds
+// bodies that a handler doesn't read.
+func (g connectionGuards) protectInternal(server *http.Server) {
+	server.Handler = callerconn.BoundUnreadBody(server.Handler)
 	g.internal.Protect(server)
 }
--- a/cmd/lagoonlane/lifecyclelog.go
+++ b/cmd/lagoonlane/lifecyclelog.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	limits := machineLimits{memoryBytes: settings.MemoryBytes, descriptors: settings.Descriptors}
+	limits := machineLimits{memoryBytes: settings.MemoryBytes, descriptors: settings.Descriptors, openStreams: true}
 	l.guards, err = newConnectionGuards(limits, l.headLimit, l.limiter.Logger(logger, "client connection"), meter)
 	return l, err
 }
@@ -118,7 +118,13 @@
 func (l *lifecycleLog) configureServer(server *http.Server, name string) *http.Server {
 	server.ErrorLog = l.limiter.ServerErrorLog(l.log, name)
 	server.BaseContext = func(net.Listener) context.Context { return l.baseContext }
-	l.guards.protect(server, name == frontServer)
+	// Requests to "*" are answered like those to any other path without a route.
+	server.DisableGeneralOptionsHandler = true
+	if name == frontServer {
+		l.guards.protectPublic(server)
+	} else {
+		l.guards.protectInternal(server)
+	}
 	return server
 }
 
--- a/cmd/lagoonlane/process.go
+++ b/cmd/lagoonlane/process.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
-	guards.internal.Protect(internal)
+	guards.protectInternal(internal)
 	if err := startServer(group, internal, p.settings.Internal, guards.internal); err != nil {
 		return nil, err
 	}
@@ -144,7 +144,7 @@
 	httpServer := transport.NewPublicServer(p.publicHandler(hooks))
 	httpServer.ErrorLog = p.limiter.ServerErrorLog(p.logger, "public")
 	public := callerconn.NewServer(httpServer)
-	guards.public.Protect(httpServer)
+	guards.protectPublic(httpServer)
 	if err := startServer(group, public, p.settings.Public, guards.public); err != nil {
 		if closeErr := firstError(internal.Close(), group.Wait()); closeErr != nil {
 			p.logger.Warn().Err(closeErr).Str("server", "internal").Msg("failed to end a server after another one could not start")
--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -99,11 +99,17 @@
 	allClosed chan struct{}
 }
 
+// connKey is the context key of a request's *conn.
+type connKey struct{}
+
 // NewServer returns a Server that uses server, which must not be serving yet. It sets the
-// ConnState of server and wraps its Handler.
+// ConnState and ConnContext of server and wraps its Handler.
 func NewServer(server *http.Server) *Server {
 	s := &Server{http: server, listeners: map[*listener]struct{}{}, conns: map[*conn]struct{}{}}
 	server.ConnState = s.connState
+	server.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, raw)
+	}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.draining.Load() {
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -24,6 +24,8 @@
 	// halfClosed is true once net/http has closed the write side. It then waits for the
 	// caller to close by itself, so Close doesn't linger.
 	halfClosed atomic.Bool
+	// bodyUnread is true if the caller may still be sending the body of the last request.
+	bodyUnread atomic.Bool
 
 	mu sync.Mutex
 	// idle is true while no byte has been read since the last request. awaitingFirst is true until
@@ -155,15 +157,19 @@
 // that is closed with unread bytes, and the caller then loses the part of the answer that it
 // hasn't read yet.
 func (c *conn) linger() {
-	if c.server.closing.Load() || c.halfClosed.Load() || netpeek.Peek(c.Conn) != netpeek.Readable {
+	timeout, remaining := lingerTimeout, maxLingerBytes
+	bodyUnread := c.bodyUnread.Load()
+	if bodyUnread {
+		timeout, remaining = unreadBodyTimeout, maxUnreadBodyBytes
+	}
+	if c.server.closing.Load() || c.halfClosed.Load() || !bodyUnread && netpeek.Peek(c.Conn) != netpeek.Readable {
 		return
 	}
 	if c.CloseWrite() != nil {
 		return
 	}
 	var discarded [4 << 10]byte
-	remaining := maxLingerBytes
-	for deadline := time.Now().Add(lingerTimeout); remaining > 0 && time.Now().Before(deadline) && !c.server.closing.Load(); {
+	for deadline := time.Now().Add(timeout); remaining > 0 && time.Now().Before(deadline) && !c.server.closing.Load(); {
 		switch netpeek.Peek(c.Conn) {
 		case netpeek.Readable:
 			n, err := c.Conn.Read(discarded[:])
--- a/internal/connguard/connguard.go
+++ b/internal/connguard/connguard.go
@@ -1,13 +1,19 @@
-// Package connguard bounds what the connections of clients hold in a process before their requests are read: their
-// number, and the bytes of heads that are not complete. When a bound is reached, connections without a request give
-// way: those that have sent nothing first, then incomplete heads, the largest first. A connection with a request is
-// never closed.
+// Package connguard bounds what the connections of clients hold in a process before their requests are passed on: their
+// number, and the bytes of heads that are not complete. When a bound is reached, connections give way that carry no
+// complete request: those that have sent nothing first, then idle ones, incomplete heads and incomplete bodies, the
+// oldest first; for the bytes of heads, the largest. A connection with a complete request is never closed for another
+// one. It ends by itself: a client that has left or doesn't read its answer ends it, and so does one that sends too many
+// requests ahead of their answers.
 //
-// The package does not depend on the meaning of requests. Bodies and answers are bounded elsewhere (package membudget).
+// The package does not depend on the meaning of requests. The bytes of bodies and answers are bounded elsewhere (package
+// membudget).
 package connguard
 
 import (
+	"container/heap"
+	"container/list"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -30,6 +36,8 @@
 	HeadBytes func() int64
 	// TotalHeadBytes is the size of all incomplete heads together.
 	TotalHeadBytes int64
+	// Streams is the number of running requests of all HTTP/2 connections together; 0 means no limit.
+	Streams int64
 }
 
 // Options configures a Guard. Name and Limits are required.
@@ -43,11 +51,16 @@
 	Meter metric.Meter
 }
 
+// maxPipelined is the number of requests in a row that may come before the answer to the one before has begun. The
+// connection then ends with the next answer.
+const maxPipelined = 64
+
 // Reasons for which connections are closed.
 const (
 	reasonHead        = "its head is too large"
 	reasonTotalHeads  = "the incomplete heads are too large together"
 	reasonConnections = "there are too many connections"
+	reasonStreams     = "the HTTP/2 connections have too many requests together"
 	reasonUnguarded   = "it does not come from a guarded listener"
 )
 
@@ -61,10 +74,17 @@
 	options Options
 	closed  metric.Int64Counter
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
-	// headBytes is the size of all incomplete heads.
+	mu sync.Mutex
+	// open is the number of open connections.
+	open int
+	// waiting holds the connections of each class that gives way, those that have been in it for longest first.
+	waiting [waitingClasses]list.List
+	// heads holds the connections with an incomplete head, and headBytes is the size of these.
+	heads     connHeap
 	headBytes int64
+	// multiplexed holds the HTTP/2 connections with running requests, and streams is the number of these.
+	multiplexed connHeap
+	streams     int64
 }
 
 // New returns a Guard without connections.
@@ -72,7 +92,11 @@
 	if options.Meter == nil {
 		options.Meter = noop.Meter{}
 	}
-	g := &Guard{options: options, conns: map[*conn]struct{}{}}
+	g := &Guard{
+		options:     options,
+		heads:       connHeap{held: func(c *conn) int64 { return c.headBytes }, place: func(c *conn) *int { return &c.headPlace }},
+		multiplexed: connHeap{held: func(c *conn) int64 { return c.streams }, place: func(c *conn) *int { return &c.streamPlace }},
+	}
 	var err error
 	g.closed, err = options.Meter.Int64Counter("lagoonlane_connections_limited", metric.WithDescription("connections without a request that were closed for a limit, by listener and reason"))
 	return g, errors.WithStack(err)
@@ -94,14 +118,22 @@
 			g.refuseUnguarded(raw, err)
 			return ctx
 		}
+		ctx, c.cancel = context.WithCancelCause(ctx)
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		// net/http doesn't report a request as active whose bytes all came with the one before.
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			c.setState(http.StateActive)
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		switch {
+		case !ok:
+			// ConnContext has closed the connection.
+			panic(http.ErrAbortHandler)
+		case r.ProtoMajor < 2:
+			serveGuarded(handler, c, w, r)
+		default:
+			c.beginStream()
+			defer c.endStream()
+			handler.ServeHTTP(w, r)
 		}
-		handler.ServeHTTP(w, r)
 	})
 	server.ConnState = func(raw net.Conn, state http.ConnState) {
 		// A connection that isn't found is closed by ConnContext.
@@ -114,6 +146,37 @@
 	}
 }
 
+// serveGuarded serves a request of HTTP/1.1.
+func serveGuarded(handler http.Handler, c *conn, w http.ResponseWriter, r *http.Request) {
+	hasBody := r.Body != nil && r.ContentLength != 0
+	if c.beginRequest(hasBody) {
+		w.Header().Set("Connection", "close")
+	}
+	if hasBody {
+		// The request is copied because net/http inspects the Body field of its own request.
+		request := *r
+		request.Body = &guardedBody{ReadCloser: r.Body, conn: c}
+		r = &request
+	}
+	handler.ServeHTTP(w, r)
+}
+
+// guardedBody is a request body that tells the guard when it has been read to its end.
+type guardedBody struct {
+	io.ReadCloser
+	conn  *conn
+	ended bool
+}
+
+func (b *guardedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.ended {
+		b.ended = true
+		b.conn.endBody()
+	}
+	return n, err
+}
+
 // Listener wraps inner so that its connections are guarded.
 func (g *Guard) Listener(inner net.Listener) net.Listener {
 	return &listener{Listener: inner, guard: g}
@@ -123,21 +186,51 @@
 func (g *Guard) Connections() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.conns)
+	return g.open
+}
+
+// move puts a connection into another class, at the end of those that wait there. The caller holds g.mu.
+func (g *Guard) move(c *conn, to class) {
+	if c.class == classGone && c.place == nil && to != classSilent {
+		// The connection has given way.
+		return
+	}
+	if c.place != nil {
+		g.waiting[c.class].Remove(c.place)
+		c.place = nil
+	}
+	if c.headPlace != outsideHeap && to != classHead {
+		heap.Remove(&g.heads, c.headPlace)
+		g.headBytes -= c.headBytes
+		c.headBytes = 0
+	}
+	if c.streamPlace != outsideHeap && to == classGone {
+		heap.Remove(&g.multiplexed, c.streamPlace)
+	}
+	if to == classGone {
+		g.open--
+	}
+	if c.class = to; to < waitingClasses {
+		c.place = g.waiting[to].PushBack(c)
+	}
+	if to == classHead && c.headPlace == outsideHeap {
+		heap.Push(&g.heads, c)
+	}
 }
 
 // add takes a new connection, for which another one gives way if there are too many. It reports false if none does.
 func (g *Guard) add(c *conn) bool {
 	g.mu.Lock()
 	var victim *conn
-	if len(g.conns) >= g.options.Limits.Connections {
-		if victim = g.oldestWithoutRequest(); victim == nil {
+	if g.open >= g.options.Limits.Connections {
+		if victim = g.oldestWaiting(); victim == nil {
 			g.mu.Unlock()
 			return false
 		}
-		g.remove(victim)
+		g.move(victim, classGone)
 	}
-	g.conns[c] = struct{}{}
+	g.open++
+	g.move(c, classSilent)
 	g.mu.Unlock()
 	if victim != nil {
 		g.close(victim, reasonConnections)
@@ -145,62 +238,48 @@
 	return true
 }
 
-// remove forgets a connection. The caller holds g.mu.
-func (g *Guard) remove(c *conn) {
-	if _, known := g.conns[c]; known {
-		delete(g.conns, c)
-		g.headBytes -= c.headBytes
-		c.headBytes = 0
-	}
-}
-
-// oldestWithoutRequest returns the connection that gives way to a new one, or nil: one that has sent nothing since it
-// was opened before one that waits for a further request or has sent a part of a head, and the one that has waited
-// longest. The caller holds g.mu.
-func (g *Guard) oldestWithoutRequest() *conn {
-	var oldest *conn
-	for c := range g.conns {
-		switch {
-		case c.serving:
-		case oldest == nil, c.class() < oldest.class(), c.class() == oldest.class() && c.since.Before(oldest.since):
-			oldest = c
-		}
-	}
-	return oldest
-}
-
-// largestHead returns the connection with the largest incomplete head. The caller holds g.mu.
-func (g *Guard) largestHead() *conn {
-	var largest *conn
-	for c := range g.conns {
-		if !c.serving && (largest == nil || c.headBytes > largest.headBytes) {
-			largest = c
+// oldestWaiting returns the connection that gives way to a new one, or nil. The caller holds g.mu.
+func (g *Guard) oldestWaiting() *conn {
+	for i := range g.waiting {
+		if front := g.waiting[i].Front(); front != nil {
+			return front.Value.(*conn)
 		}
 	}
-	return largest
+	return nil
 }
 
-// received counts bytes of a head that have been read from a connection. It returns *LimitError if the connection has to
-// be closed.
+// received counts bytes that have been read from a connection. It returns *LimitError if the connection has to be
+// closed.
 func (g *Guard) received(c *conn, n int64) error {
 	maxHead := g.options.Limits.HeadBytes()
 	g.mu.Lock()
-	if _, known := g.conns[c]; !known || c.serving {
+	c.receivedSinceIdle = true
+	switch {
+	case c.class == classGone, c.class == classBody, c.takenOver:
+		g.mu.Unlock()
+		return nil
+	case c.class == classServing:
+		if !c.multiplexed {
+			g.receivedEarly(c)
+		}
 		g.mu.Unlock()
 		return nil
+	case c.class != classHead:
+		g.move(c, classHead)
 	}
 	c.headBytes += n
 	g.headBytes += n
+	heap.Fix(&g.heads, c.headPlace)
 	var victim *conn
 	reason := ""
 	switch {
 	case c.headBytes > maxHead:
 		victim, reason = c, reasonHead
 	case g.headBytes > g.options.Limits.TotalHeadBytes:
-		victim, reason = g.largestHead(), reasonTotalHeads
+		victim, reason = g.heads.conns[0], reasonTotalHeads
 	}
 	if victim != nil {
-		g.remove(victim)
+		g.move(victim, classGone)
 	}
 	g.mu.Unlock()
 	switch victim {
@@ -214,6 +293,16 @@
 	return nil
 }
 
+// receivedEarly processes bytes that have come while a request is running: they belong to the next one. The caller
+// holds g.mu.
+func (g *Guard) receivedEarly(c *conn) {
+	c.early = c.early || !c.answered.Load()
+	if !c.watched && c.cancel != nil {
+		c.watched = true
+		go c.watch()
+	}
+}
+
 // refuseUnguarded closes a connection whose states the guard doesn't see. It would be served without limits, or closed
 // while its request runs.
 func (g *Guard) refuseUnguarded(raw net.Conn, cause error) {
--- a/internal/netpeek/netpeek.go
+++ b/internal/netpeek/netpeek.go
@@ -51,6 +51,26 @@
 	return state
 }
 
+// HungUp reports whether the peer has closed a connection or it has failed, also while received bytes are unread. It
+// returns false for a connection without a file descriptor.
+func HungUp(conn net.Conn) bool {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true
+	}
+	hungUp := false
+	err = control.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(poll, 0)
+		hungUp = err == nil && n > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err != nil || hungUp
+}
+
 // Queued reports whether a listener's backlog holds connections that are not yet accepted. It
 // returns false for a listener without a file descriptor.
 func Queued(listener net.Listener) bool {
--- a/internal/slots/client.go
+++ b/internal/slots/client.go
@@ -215,7 +215,7 @@
 		return nil, errors.Wrap(err, "send the upgrade request")
 	}
 	request.Header.Set("Connection", "Upgrade")
-	request.Header.Set("Upgrade", upgradeProtocol)
+	request.Header.Set("Upgrade", Protocol)
 	if err := request.Write(conn); err != nil {
 		return nil, errors.Wrap(err, "send the upgrade request")
 	}
--- a/internal/slots/message.go
+++ b/internal/slots/message.go
@@ -16,9 +16,9 @@
 
 const (
 	// Path is where a sidecar accepts connections for slots. After an HTTP/1.1 upgrade to
-	// upgradeProtocol, both sides send JSON messages.
-	Path            = "/lane/v1/slots"
-	upgradeProtocol = "lane-slots"
+	// Protocol, both sides send JSON messages.
+	Path     = "/lane/v1/slots"
+	Protocol = "lane-slots"
 	// pingInterval is the time between pings on a connection with tickets.
 	pingInterval = time.Second
 	// silenceLimit is how long a connection with tickets may be silent before it is closed. It
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -197,9 +197,9 @@
 // ServeHTTP takes over the connection of an entry and handles its tickets. The slots of the
 // entry are freed when the connection ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !strings.EqualFold(r.Header.Get("Upgrade"), upgradeProtocol) {
-		w.Header().Set("Upgrade", upgradeProtocol)
-		http.Error(w, "this path speaks "+upgradeProtocol, http.StatusUpgradeRequired)
+	if !strings.EqualFold(r.Header.Get("Upgrade"), Protocol) {
+		w.Header().Set("Upgrade", Protocol)
+		http.Error(w, "this path speaks "+Protocol, http.StatusUpgradeRequired)
 		return
 	}
 	conn, buffered, err := http.NewResponseController(w).Hijack()
@@ -217,6 +217,7 @@
 		entry.conn.close(errors.WithStack(&ClosedError{}))
 		return
 	}
+	entry.setServing(false)
 	entry.logLost(r.RemoteAddr, entry.readLoop())
 	s.removeConn(entry)
 	entry.withdrawAll()
@@ -261,7 +262,7 @@
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return errors.Wrap(err, "deadline")
 	}
-	_, err := w.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n\r\n")
+	_, err := w.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + Protocol + "\r\n\r\n")
 	if err != nil {
 		return errors.Wrap(err, "write the upgrade answer")
 	}
--- a/internal/slots/serverconn.go
+++ b/internal/slots/serverconn.go
@@ -1,12 +1,14 @@
 package slots
 
 import (
+	"net"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/lagoonlane/lagoonlane/internal/admission"
+	"github.com/lagoonlane/lagoonlane/internal/netpeek"
 )
 
 // serverConn is a sidecar's side of a connection.
@@ -86,6 +88,9 @@
 func (c *serverConn) add(number uint64, ticket serverTicket) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.tickets) == 0 {
+		c.setServing(true)
+	}
 	c.tickets[number] = ticket
 }
 
@@ -93,11 +98,27 @@
 func (c *serverConn) remove(number uint64) *admission.SlotTicket {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ticket := c.tickets[number]
+	ticket, known := c.tickets[number]
 	delete(c.tickets, number)
+	if known && len(c.tickets) == 0 {
+		c.setServing(false)
+	}
 	return ticket.slot
 }
 
+// setServing tells the connection's guard, if it has one, whether it may give way to others.
+func (c *serverConn) setServing(serving bool) {
+	if guarded, err := netpeek.Find[servingConn](c.conn.netConn); err == nil {
+		guarded.SetServing(serving)
+	}
+}
+
+// servingConn is a connection whose listener bounds the number of connections without work.
+type servingConn interface {
+	net.Conn
+	SetServing(serving bool)
+}
+
 // readLoop reads an entry's messages until the connection ends. An entry with tickets that is
 // silent for silenceLimit is considered dead.
 func (c *serverConn) readLoop() error {
