Addresses between processes: bound HTTP/2 without a peer key

Seen: 300 clients of HTTP/2 that open streams without end, reset them or send bodies took an entry and a sidecar with 64 MB to 350 MB.

Cause: 8,192 streams a connection, frames of 1 MB and receive buffers of 1 MB, also where no key is asked for; answers to frames queue up while the peer doesn't read. Messages of entries were read without a bound of time or of memory in all, and could name any number of entries.

Messages come within 5 s and 5 % of the memory, and name 4,096 entries at most.

--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -42,6 +42,8 @@
 	// buffered whole. The rest of memoryLimitShare is left for connections, buffers and
 	// configuration.
 	bufferedBytesShare = 0.2
+	// messagesShare is the share of the machine's memory for messages of other entries that are being received.
+	messagesShare = 0.05
 	// configurationWaitShare and serversWaitShare are the longest waits of one read of the store, and the largest
 	// age of what is known at the end of a wait, as shares of the bounds on configuration changes and on draining.
 	// After readMarginShare more, a connection without a response counts as lost; the remainder of each bound is
@@ -157,12 +159,12 @@
 // listenInternal starts the internal server for other processes and the server of the metrics
 // page.
 func (n *node) listenInternal(group *errgroup.Group) error {
-	if err := n.listen(group, n.configureServer(transport.NewInternalServer(n.internal), "internal"), n.settings.Internal); err != nil {
+	if err := n.listen(group, n.configureServer(transport.NewOpenInternalServer(n.internal), "internal"), n.settings.Internal); err != nil {
 		return err
 	}
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", n.metrics.Handler)
-	return n.listen(group, n.configureServer(transport.NewInternalServer(metricsMux), "metrics"), n.settings.Metrics)
+	return n.listen(group, n.configureServer(transport.NewOpenInternalServer(metricsMux), "metrics"), n.settings.Metrics)
 }
 
 // run starts the background work and serves until ctx is done or a component fails. It then calls
@@ -300,6 +302,7 @@
 		Poison:               e.poison,
 		Backpressure:         e.backpressure,
 		Feeds:                []*feed.Feed{e.feeds.operator, e.feeds.servers, e.feeds.entries},
+		MaxBufferedBytes:     int64(messagesShare * float64(n.settings.MemoryBytes)),
 		Logger:               n.logger,
 	})
 	e.gateway, err = e.newGateway(codec, holder, pool)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -17,6 +17,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/bounded"
 	"github.com/lagoonlane/lagoonlane/internal/feed"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
+	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
@@ -52,6 +53,10 @@
 	unresponsivePeriod = 2 * time.Second
 	// maxMessageBytes bounds the size of a message.
 	maxMessageBytes = 4 << 20
+	// messageReadTimeout bounds the time for receiving a message.
+	messageReadTimeout = 5 * time.Second
+	// maxMembers bounds the entries that are learned from messages.
+	maxMembers = 4096
 )
 
 // Configuration is the current configuration of this entry, as served to other entries.
@@ -69,7 +74,8 @@
 	HandleReports(id, boot string, reports []rollout.Report, at time.Time)
 }
 
-// Options configures a Roster. All fields except Rollouts, Poison, Backpressure and Feeds are required.
+// Options configures a Roster. All fields except Rollouts, Poison, Backpressure, Feeds and MaxBufferedBytes
+// are required.
 type Options struct {
 	ID      string
 	Address string
@@ -89,8 +95,11 @@
 	// Backpressure may be nil.
 	Backpressure *backpressure.Tracker
 	// Feeds are the topics of the store that entries pass on to each other.
-	Feeds  []*feed.Feed
-	Logger zerolog.Logger
+	Feeds []*feed.Feed
+	// MaxBufferedBytes limits the total size of the messages that are being received. 0 means the default of
+	// membudget.
+	MaxBufferedBytes int64
+	Logger           zerolog.Logger
 }
 
 // member is the state kept for another entry.
@@ -113,6 +122,8 @@
 type Roster struct {
 	options   Options
 	startedAt time.Time
+	// messages bounds the memory of messages that are being received.
+	messages *membudget.Budget
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -127,7 +138,10 @@
 
 // New returns a Roster without other entries.
 func New(options Options) *Roster {
-	return &Roster{options: options, startedAt: time.Now(), members: map[string]*member{}, transfers: map[string]bool{}}
+	return &Roster{
+		options: options, startedAt: time.Now(), messages: membudget.New(options.MaxBufferedBytes),
+		members: map[string]*member{}, transfers: map[string]bool{},
+	}
 }
 
 // AddEntry adds a registered entry or updates its address. The limits of client accounts take it into
@@ -395,7 +409,7 @@
 	for _, report := range msg.Reports {
 		reportedAt := now.Add(-milliseconds(report.AgeMS))
 		m := r.members[report.ID]
-		if report.ID == r.options.ID || (m != nil && !reportedAt.After(m.reportedAt)) {
+		if report.ID == r.options.ID || (m != nil && !reportedAt.After(m.reportedAt)) || (m == nil && len(r.members) >= maxMembers) {
 			continue
 		}
 		m = r.addMember(report.ID, report.Address)
@@ -414,9 +428,18 @@
 }
 
 func (r *Roster) serveExchange(w http.ResponseWriter, request *http.Request) {
+	// An error means that the connection has no deadlines or is closed, which the read reports.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(messageReadTimeout))
+	memory := r.messages.NewReservation()
+	defer memory.Release()
+	data, err := memory.ReadAll(request.Body, request.ContentLength, maxMessageBytes)
+	if err != nil {
+		http.Error(w, "the message can't be read: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	var msg message
-	if err := json.NewDecoder(bounded.NewReader(request.Body, maxMessageBytes)).Decode(&msg); err != nil {
-		http.Error(w, "the message can't be read: "+err.Error(), http.StatusBadRequest)
+	if err := json.Unmarshal(data, &msg); err != nil {
+		http.Error(w, "the message can't be decoded: "+err.Error(), http.StatusBadRequest)
 		return
 	}
 	r.mergeMessage(&msg, time.Now())
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -31,7 +31,14 @@
 	// header with a typed problem.
 	maxCallerHeaderBytes = 1 << 20
 	bearerPrefix         = "Bearer "
-	maxStreams           = 8192
+	// maxStreams is the number of streams of a connection between processes with a peer key: each waiting request
+	// has one. maxOpenStreams is that without a key, where streams carry short calls only.
+	maxStreams     = 8192
+	maxOpenStreams = 32
+	// maxOpenBuffer limits the received and unread bytes of a connection without a peer key.
+	maxOpenBuffer = 64 << 10
+	// maxFrameBytes is the largest HTTP/2 frame that a process receives, and has a buffer for on each connection.
+	maxFrameBytes = 16 << 10
 	// maxStreamBuffer limits the received and unread bytes of one response.
 	maxStreamBuffer = 128 << 10
 	// maxMessageBytes limits a message that is read into memory. The largest one is a snapshot
@@ -108,6 +115,8 @@
 		key, found := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
 		got := sha256.Sum256([]byte(key))
 		if !found || subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+			// Over HTTP/2 this ends the connection, which may have many more streams.
+			w.Header().Set("Connection", "close")
 			http.Error(w, "peer key is missing or wrong", http.StatusUnauthorized)
 			return
 		}
@@ -115,9 +124,21 @@
 	})
 }
 
-// NewInternalServer returns a server for calls of other lagoonlane processes. It supports HTTP/2
-// without TLS, and HTTP/1.1 for health checks and metrics.
+// NewInternalServer returns a server for calls of other lagoonlane processes, whose handler requires a peer key. It
+// supports HTTP/2 without TLS, and HTTP/1.1 for health checks and metrics.
 func NewInternalServer(handler http.Handler) *http.Server {
+	return newInternalServer(handler, http.HTTP2Config{MaxConcurrentStreams: maxStreams})
+}
+
+// NewOpenInternalServer is NewInternalServer without a peer key.
+func NewOpenInternalServer(handler http.Handler) *http.Server {
+	return newInternalServer(handler, http.HTTP2Config{
+		MaxConcurrentStreams: maxOpenStreams, MaxReceiveBufferPerConnection: maxOpenBuffer, MaxReceiveBufferPerStream: maxOpenBuffer,
+	})
+}
+
+func newInternalServer(handler http.Handler, http2 http.HTTP2Config) *http.Server {
+	http2.MaxReadFrameSize = maxFrameBytes
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -127,7 +148,9 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		HTTP2:             &http2,
+
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
@@ -138,5 +161,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxCallerHeaderBytes,
+
+		DisableGeneralOptionsHandler: true,
 	}
 }
