Prompt memory: the cost of a prompt no longer grows with the table

Cause: each unknown part looked through all 4,096 known ones for the oldest, under the lock of the estimator, for which the placement of other requests waited while it held the lock of the table of servers.

TestBeginningOfALongPromptIsRecorded fails on the code before.

--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -315,6 +315,22 @@
 // candidates returns the engines for a request, best first. With prefix affinity, what an engine probably still holds of
 // the prompt is weighed against the wait there. sidecarLost reports whether the sidecar of an engine doesn't answer.
 func (t *serverTable) candidates(list []fleet.Server, call *call, now time.Time, sidecarLost func(fleet.Server) bool) []candidate {
+	all, memories := t.estimate(list, call, now, sidecarLost)
+	// Claims takes time for each part of the prompt, so that it isn't called under the lock.
+	if len(memories) > 0 {
+		for i, claim := range t.memory.Claims(memories, call.promptParts(), now) {
+			all[i].claim = claim
+			all[i].wait -= claim.Seconds
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	sortCandidates(all)
+	return all
+}
+
+// estimate returns the engines for a request without what their memories are worth to it, and how to weigh these if the
+// request has prefix affinity.
+func (t *serverTable) estimate(list []fleet.Server, call *call, now time.Time, sidecarLost func(fleet.Server) bool) ([]candidate, []promptmemory.Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all := make([]candidate, 0, len(list))
@@ -327,17 +343,14 @@
 		}
 		all = append(all, c)
 	}
-	t.claim(all, call, now)
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	sortCandidates(all)
-	return all
-}
-
-// claim sets what the memory of each candidate is worth to a call. The caller holds t.mu.
-func (t *serverTable) claim(all []candidate, call *call, now time.Time) {
 	if !call.route.PrefixAffinity || len(call.info.Parts) == 0 {
-		return
+		return all, nil
 	}
+	return all, t.memories(all, now)
+}
+
+// memories describes the memories of engines. The caller holds t.mu.
+func (t *serverTable) memories(all []candidate, now time.Time) []promptmemory.Server {
 	servers := make([]promptmemory.Server, len(all))
 	for i, c := range all {
 		s := t.get(c.server.ID)
@@ -348,10 +361,7 @@
 			Usable: !c.silent && !c.noSlots && s.rateLimitWait(now) == 0 && max(s.failureRate, s.slotLoad.FailureRate) <= maxFailureRate && now.Sub(s.slotLoadAt) < slotLoadMemoryAge,
 		}
 	}
-	for i, claim := range t.memory.Claims(servers, call.promptParts(), now) {
-		all[i].claim = claim
-		all[i].wait -= claim.Seconds
-	}
+	return servers
 }
 
 // promptParts returns the parts of the prompt, at most as many tokens as the prompt has.
--- a/internal/promptmemory/promptmemory.go
+++ b/internal/promptmemory/promptmemory.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/rendezvous"
 )
@@ -16,6 +18,8 @@
 	// maxParts bounds the parts with known holders, and maxHolders the holders that are kept of each.
 	maxParts   = 4096
 	maxHolders = 16
+	// maxPromptParts bounds the parts of one prompt that are regarded, the first ones.
+	maxPromptParts = 256
 	// homeShare is the share of the shared parts that a part's home is taken to hold while no holder is known: other
 	// processes, whose requests this one doesn't see, send requests with the part there first.
 	homeShare = 0.25
@@ -54,27 +58,33 @@
 
 // Estimator learns which servers have read which parts. It is safe for concurrent use.
 type Estimator struct {
-	mu    sync.Mutex
-	parts map[string]*part
+	mu sync.Mutex
+	// parts holds the parts that were read last.
+	parts *simplelru.LRU[string, part]
 }
 
-// part is what is known of the holders of one part.
-type part struct {
-	// holders holds when each server last read the part.
-	holders  map[fleet.Incarnation]time.Time
-	lastUsed time.Time
-}
+// part is what is known of the holders of one part: when each server last read it.
+type part map[fleet.Incarnation]time.Time
 
 // New returns an Estimator that knows no holders.
-func New() *Estimator { return &Estimator{parts: map[string]*part{}} }
+func New() *Estimator {
+	parts, err := simplelru.NewLRU[string, part](maxParts, nil)
+	if err != nil {
+		// The only error is a size that is not positive.
+		panic(err)
+	}
+	return &Estimator{parts: parts}
+}
 
 // shared returns the parts of a prompt that other requests may share: all but the last one, which belongs to the
 // request or its session, if the session is known.
 func (e *Estimator) shared(parts []Part) []Part {
-	if len(parts) == 0 {
+	switch {
+	case len(parts) == 0:
 		return nil
-	}
-	if last := parts[len(parts)-1]; e.parts[last.ID] != nil {
+	case len(parts) > maxPromptParts:
+		return parts[:maxPromptParts]
+	case e.parts.Contains(parts[len(parts)-1].ID):
 		return parts
 	}
 	return parts[:len(parts)-1]
@@ -84,52 +94,36 @@
 func (e *Estimator) RecordRead(server fleet.Incarnation, parts []Part, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, p := range parts {
-		known := e.parts[p.ID]
-		if known == nil {
-			e.makeRoom()
-			known = &part{holders: map[fleet.Incarnation]time.Time{}}
-			e.parts[p.ID] = known
+	for _, p := range parts[:min(len(parts), maxPromptParts)] {
+		known, ok := e.parts.Get(p.ID)
+		if !ok {
+			known = part{}
+			e.parts.Add(p.ID, known)
 		}
-		known.lastUsed = now
-		if _, held := known.holders[server]; !held && len(known.holders) >= maxHolders {
+		if _, held := known[server]; !held && len(known) >= maxHolders {
 			known.dropOldestHolder()
 		}
-		known.holders[server] = now
+		known[server] = now
 	}
 }
 
-// makeRoom drops the part that was used longest ago if there are too many. The caller holds e.mu.
-func (e *Estimator) makeRoom() {
-	if len(e.parts) < maxParts {
-		return
-	}
-	oldest := ""
-	for id, p := range e.parts {
-		if oldest == "" || p.lastUsed.Before(e.parts[oldest].lastUsed) {
-			oldest = id
-		}
-	}
-	delete(e.parts, oldest)
-}
-
-func (p *part) dropOldestHolder() {
+func (p part) dropOldestHolder() {
 	var oldest fleet.Incarnation
 	first := true
-	for server, at := range p.holders {
-		if first || at.Before(p.holders[oldest]) {
+	for server, at := range p {
+		if first || at.Before(p[oldest]) {
 			oldest, first = server, false
 		}
 	}
-	delete(p.holders, oldest)
+	delete(p, oldest)
 }
 
 // Forget forgets the parts of a server that has lost its memory.
 func (e *Estimator) Forget(server fleet.Incarnation) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, p := range e.parts {
-		delete(p.holders, server)
+	for _, p := range e.parts.Values() {
+		delete(p, server)
 	}
 }
 
@@ -137,7 +131,7 @@
 func (e *Estimator) Parts() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.parts)
+	return e.parts.Len()
 }
 
 // Claims returns what the memory of each server is worth to a request with the given parts, in the order of the
@@ -176,7 +170,7 @@
 // -1 if a holder is known. The caller holds e.mu.
 func (e *Estimator) homeOf(servers []Server, shared []Part) int {
 	last := shared[len(shared)-1]
-	if known := e.parts[last.ID]; known != nil && len(known.holders) > 0 {
+	if known, _ := e.parts.Peek(last.ID); len(known) > 0 {
 		return -1
 	}
 	home, highest := -1, math.Inf(-1)
@@ -193,11 +187,8 @@
 func (e *Estimator) expectedTokens(s *Server, shared []Part, now time.Time) float64 {
 	expected, kept := 0.0, 1.0
 	for _, p := range shared {
-		known := e.parts[p.ID]
-		if known == nil {
-			break
-		}
-		readAt, held := known.holders[s.Incarnation]
+		known, _ := e.parts.Peek(p.ID)
+		readAt, held := known[s.Incarnation]
 		if !held {
 			break
 		}
--- a/internal/promptmemory/promptmemory_test.go
+++ b/internal/promptmemory/promptmemory_test.go
@@ -188,3 +188,29 @@
 		}
 	}
 }
+
+// Of a prompt of thousands of parts only the beginning may be recorded, also once the table is full.
+func TestBeginningOfALongPromptIsRecorded(t *testing.T) {
+	c := qt.New(t)
+	const parts, prompts = 1900, 20
+	e := promptmemory.New()
+	prompt := func(n int) []promptmemory.Part {
+		all := make([]promptmemory.Part, parts)
+		for i := range all {
+			all[i] = promptmemory.Part{ID: fmt.Sprint(n, "-", i), Tokens: 1}
+		}
+		return all
+	}
+	for n := range prompts {
+		e.RecordRead(fleet.Incarnation{ID: "s"}, prompt(n), epoch)
+	}
+	full := prompt(prompts)
+	allocations := testing.AllocsPerRun(1, func() { e.RecordRead(fleet.Incarnation{ID: "s"}, full, epoch) })
+	c.Check(allocations < parts, qt.IsTrue, qt.Commentf("%v allocations: all parts are recorded", allocations))
+	before := e.Parts()
+	e.RecordRead(fleet.Incarnation{ID: "s"}, prompt(prompts+1), epoch)
+	c.Check(e.Parts() == before, qt.IsTrue)
+	// What is recorded of a long prompt is its beginning.
+	claim := e.Claims([]promptmemory.Server{server("s", 0)}, full, epoch)[0]
+	c.Check(claim.Tokens > 0 && claim.Tokens < parts, qt.IsTrue, qt.Commentf("%v", claim))
+}
