--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,6 +147,9 @@
 	if failure == nil {
 		failure = g.checkPrompt(call)
 	}
+	if failure == nil {
+		failure = checkSize(call)
+	}
 	if failure == nil {
 		failure = g.checkShutdown(call, typicalSlotWait)
 	}
@@ -180,6 +183,19 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
 }
 
+// checkSize refuses a request that no engine has the memory for. It would be charged against the limit of its client
+// account while it waits.
+func checkSize(call *call) *Failure {
+	if call.engine == nil || call.engine.MemoryTokens <= 0 || call.info.PromptTokens+call.info.MaxOutputTokens <= call.engine.MemoryTokens {
+		return nil
+	}
+	return unavailable(KindTooLarge, sizeRetryAfter, "the request has more tokens than the memory of an engine")
+}
+
+// sizeRetryAfter is the Retry-After of a request that no engine has the memory for: a change of the configuration may
+// bring larger ones.
+const sizeRetryAfter = time.Minute
+
 // checkAccountLimit charges a request against the limit of its client account, and returns a
 // failure if the limit is exceeded.
 func (g *Gateway) checkAccountLimit(call *call) *Failure {
