Poison: forget old answers one by one

Cause: once 8,192 answers were remembered, each new part looked through all of them under a lock that all requests to engines take, and if none was old enough all were forgotten, with the evidence that the parts of other requests are harmless.

Change: the answers stand in an LRU list. TestLastAnswersAreRemembered fails on the code before.

--- a/internal/poison/exchange.go
+++ b/internal/poison/exchange.go
@@ -73,7 +73,7 @@
 }
 
 func (t *Tracker) reportAnswer(report *Report, part string, now time.Time) {
-	if at := t.ownAnswers[part]; !at.IsZero() {
+	if at := t.ownAnswers.last(part); !at.IsZero() {
 		report.AnswerAges[part] = now.Sub(at).Milliseconds()
 	}
 }
@@ -89,7 +89,7 @@
 	defer t.mu.Unlock()
 	for part, age := range report.AnswerAges {
 		if len(part) <= maxPartBytes && age >= 0 {
-			recordAnswer(t.answered, part, at.Add(-milliseconds(age)), now)
+			t.answered.record(part, at.Add(-milliseconds(age)))
 		}
 	}
 	for _, b := range report.Blocked {
@@ -107,7 +107,7 @@
 // adopt blocks a part that a peer has blocked.
 func (t *Tracker) adopt(peer string, report BlockReport, now, at time.Time) {
 	lastCrash := at.Add(-milliseconds(report.LastCrashAgeMS))
-	if report.LastCrashAgeMS < 0 || report.AgeMS < 0 || len(report.Part) > maxPartBytes || now.Sub(lastCrash) > maxBlockRelayAge || t.answered[report.Part].After(lastCrash) {
+	if report.LastCrashAgeMS < 0 || report.AgeMS < 0 || len(report.Part) > maxPartBytes || now.Sub(lastCrash) > maxBlockRelayAge || t.answered.last(report.Part).After(lastCrash) {
 		return
 	}
 	known := t.blocked[report.Part]
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -34,8 +34,6 @@
 	crashTTL = time.Minute
 	// blockTTL is how long a part stays blocked after its last crash. The evidence then starts anew.
 	blockTTL = 5 * time.Minute
-	// answerTTL is how long the last answer to a part is remembered.
-	answerTTL = time.Minute
 	// maxCrashes, maxSuspects and maxBlocked bound what is kept: crashes without a known cause, requests
 	// of one crash, and blocked parts.
 	maxCrashes  = 16
@@ -67,7 +65,7 @@
 	crashes map[string]*crash
 	// answered holds when a request with a part was last answered, here or at a peer; ownAnswers holds
 	// the answers that this process has observed itself.
-	answered, ownAnswers map[string]time.Time
+	answered, ownAnswers answerTimes
 	blocked              map[string]*block
 }
 
@@ -87,7 +85,7 @@
 
 // New returns a Tracker without evidence.
 func New(options Options) *Tracker {
-	return &Tracker{options: options, crashes: map[string]*crash{}, answered: map[string]time.Time{}, ownAnswers: map[string]time.Time{}, blocked: map[string]*block{}}
+	return &Tracker{options: options, crashes: map[string]*crash{}, answered: newAnswerTimes(), ownAnswers: newAnswerTimes(), blocked: map[string]*block{}}
 }
 
 // tracked returns the parts of a prompt that are tracked: all but the last, which belongs to the request alone. It
@@ -145,26 +143,12 @@
 	if t == nil || len(shared) == 0 {
 		return
 	}
-	now := t.options.Now()
+	at := t.options.Now().Add(-ago)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range shared {
-		recordAnswer(t.ownAnswers, part, now.Add(-ago), now)
-		recordAnswer(t.answered, part, now.Add(-ago), now)
-	}
-}
-
-// recordAnswer stores the later time of an answer. If there are too many, it forgets old ones, and all of
-// them if that is not enough.
-func recordAnswer(answers map[string]time.Time, part string, at, now time.Time) {
-	if _, known := answers[part]; !known && len(answers) >= maxAnswers {
-		maps.DeleteFunc(answers, func(_ string, at time.Time) bool { return now.Sub(at) > answerTTL })
-		if len(answers) >= maxAnswers {
-			clear(answers)
-		}
-	}
-	if at.After(answers[part]) {
-		answers[part] = at
+		t.ownAnswers.record(part, at)
+		t.answered.record(part, at)
 	}
 }
 
@@ -212,7 +196,7 @@
 	}
 	for part, b := range t.blocked {
 		// An answer that began before the part was blocked shows that it is harmless.
-		if now.Sub(b.lastCrash) > blockTTL || t.answered[part].After(b.lastCrash) {
+		if now.Sub(b.lastCrash) > blockTTL || t.answered.last(part).After(b.lastCrash) {
 			delete(t.blocked, part)
 			t.options.Logger.Warn().Str("prompt_part", part).Dur("blocked_ms", now.Sub(b.since)).Str("outcome", "released").Msg("prompt part that crashes engines")
 		}
@@ -259,7 +243,7 @@
 		return "", time.Time{}, false
 	}
 	best := slices.MinFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(t.answered[a.part].Compare(t.answered[b.part]), cmp.Compare(b.depth, a.depth), strings.Compare(a.part, b.part))
+		return cmp.Or(t.answered.last(a.part).Compare(t.answered.last(b.part)), cmp.Compare(b.depth, a.depth), strings.Compare(a.part, b.part))
 	})
 	if now.Sub(best.first) < settleTime {
 		return "", time.Time{}, false
@@ -318,7 +302,7 @@
 		counted := map[string]bool{}
 		for _, parts := range c.suspects {
 			for depth, part := range parts {
-				if counted[part] || !c.at.After(t.answered[part]) {
+				if counted[part] || !c.at.After(t.answered.last(part)) {
 					continue
 				}
 				counted[part] = true
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -200,11 +200,11 @@
 	tracker.HandleReport("peer", report, k.now)
 	c.Assert(len(tracker.crashes) <= maxCrashes, qt.IsTrue)
 	c.Assert(tracker.BlockedParts(), qt.Equals, maxBlocked)
-	c.Assert(tracker.answered, qt.HasLen, 0)
+	c.Assert(tracker.answered.len(), qt.Equals, 0)
 	for i := range 2 * maxAnswers {
 		tracker.RecordAnswer([]string{fmt.Sprint(i), "own"}, 0)
 	}
-	c.Assert(len(tracker.answered) <= maxAnswers, qt.IsTrue)
+	c.Assert(tracker.answered.len() <= maxAnswers, qt.IsTrue)
 }
 
 // A part must never be blocked if a request with it was answered after its last crash, whatever else happens.
@@ -233,3 +233,18 @@
 		}
 	})
 }
+
+// Guards against requests with ever new parts that make the answers to other parts forgotten, which show that these are
+// harmless.
+func TestLastAnswersAreRemembered(t *testing.T) {
+	c, k := qt.New(t), newClock()
+	tracker := k.tracker()
+	for i := range maxAnswers - 1 {
+		tracker.RecordAnswer([]string{fmt.Sprint("early", i), "own"}, 0)
+	}
+	tracker.RecordAnswer([]string{"system", "own"}, 0)
+	for i := range maxAnswers / 2 {
+		tracker.RecordAnswer([]string{fmt.Sprint("late", i), "own"}, 0)
+	}
+	c.Assert(tracker.answered.last("system").IsZero(), qt.IsFalse)
+}
