Connections: a client that reads no answers leaves the backend servers sooner

Cause of TestCrowdThatReadsNoAnswers: 200 clients with thousands of pipelined requests each, most of which a full backend server rejects at once, kept its queue full until they left; the ordinary request right after found it full and was refused truthfully. With 64 requests in a row that came ahead of their answers, the crowd lasted as long as its clients stayed.

Change: a connection ends after 16 such requests. Clients that wait for the first byte of an answer before they send the next request never meet this.

--- a/internal/connguard/connguard.go
+++ b/internal/connguard/connguard.go
@@ -53,7 +53,7 @@
 
 // maxPipelined is the number of requests in a row that may come before the answer to the one before has begun. The
 // connection then ends with the next answer.
-const maxPipelined = 64
+const maxPipelined = 16
 
 // Reasons for which connections are closed.
 const (
--- a/internal/connguard/serving_test.go
+++ b/internal/connguard/serving_test.go
@@ -17,7 +17,7 @@
 )
 
 // maxPipelined is the limit of the package.
-const maxPipelined = 64
+const maxPipelined = 16
 
 // responses reads responses from a connection until it ends, and returns their number and whether the last one
 // announced the end.
