Slots: bound the numbers and tickets of a message

A number of tokens of 2^32 wrapped to 0, a time in milliseconds overflowed, and a connection could fill the queue with any number of tickets, each with a goroutine.

--- a/internal/slots/serverconn.go
+++ b/internal/slots/serverconn.go
@@ -11,6 +11,16 @@
 	"github.com/lagoonlane/lagoonlane/internal/netpeek"
 )
 
+const (
+	// maxTickets bounds the tickets of one connection.
+	maxTickets = 4096
+	// maxTokens and maxTime bound the numbers of a message, so that their sums overflow no type.
+	maxTokens = 1<<31 - 1
+	maxTime   = 24 * time.Hour
+
+	reasonTooManyTickets = "too many tickets on one connection"
+)
+
 // serverConn is a sidecar's side of a connection.
 type serverConn struct {
 	server *Server
@@ -170,6 +180,12 @@
 		c.conn.send(&message{Kind: kindRefused, Ticket: number, Reason: reason, Load: &load})
 		return
 	}
+	if c.ticketCount() >= maxTickets {
+		load := s.load(now)
+		s.logTicket(request, reasonTooManyTickets, load, 0, nil)
+		c.conn.send(&message{Kind: kindRefused, Ticket: number, Reason: reasonTooManyTickets, Load: &load})
+		return
+	}
 	s.applyUnaccounted(now)
 	s.recordRateLimit(now, request.Server, request.RateLimit)
 	s.recordCold(now, request)
@@ -234,15 +250,23 @@
 		ID:           a.RequestID,
 		Account:      a.Account,
 		Rank:         a.Rank,
-		Deadline:     now.Add(time.Duration(a.BudgetMS) * time.Millisecond),
-		PromptTokens: uint32(max(a.PromptTokens, 0)),
-		OutputTokens: uint32(max(a.OutputTokens, 0)),
-		LateHold:     time.Duration(a.LateHoldMS) * time.Millisecond,
-		Age:          time.Duration(max(a.AgeMS, 0)) * time.Millisecond,
-		MaxEventGap:  time.Duration(a.MaxEventGapMS) * time.Millisecond,
+		Deadline:     now.Add(decodeMilliseconds(a.BudgetMS)),
+		PromptTokens: decodeTokens(a.PromptTokens),
+		OutputTokens: decodeTokens(a.OutputTokens),
+		LateHold:     max(decodeMilliseconds(a.LateHoldMS), 0),
+		Age:          max(decodeMilliseconds(a.AgeMS), 0),
+		MaxEventGap:  max(decodeMilliseconds(a.MaxEventGapMS), 0),
 	}
 	if a.HasObjective {
-		r.Objective = now.Add(time.Duration(a.ObjectiveMS) * time.Millisecond)
+		r.Objective = now.Add(decodeMilliseconds(a.ObjectiveMS))
 	}
 	return r
 }
+
+// decodeTokens returns a number of tokens, between 0 and maxTokens.
+func decodeTokens(n int) uint32 { return uint32(min(max(n, 0), maxTokens)) }
+
+// decodeMilliseconds returns a time of a message, between -maxTime and maxTime.
+func decodeMilliseconds(ms int64) time.Duration {
+	return time.Duration(min(max(ms, -maxTime.Milliseconds()), maxTime.Milliseconds())) * time.Millisecond
+}
