Own interface: a body comes within a bound of time

A caller of our own interface that sent a byte now and then held its connection and its part of the memory without end. A body now has 10 s and a second for each 16 KiB of its length, or of the largest one without a length; then the request is refused (408, body-too-slow, not run).

TestSlowBodyIsRefusedInTheEnd fails on the code before: 504 instead of 408, once the whole body has come.

--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -33,6 +33,7 @@
 	KindNotFound         Kind = "no-such-route"
 	KindMethodNotAllowed Kind = "method-not-allowed"
 	KindBodyTooLarge     Kind = "body-too-large"
+	KindBodyTooSlow      Kind = "body-too-slow"
 	KindHeaderTooLarge   Kind = "header-too-large"
 	KindBadTimeout       Kind = "bad-timeout"
 	KindTierNotAllowed   Kind = "tier-not-allowed"
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,6 +32,9 @@
 	maxIdempotencyKeyBytes = 256
 	// defaultMaxBodyBytes is the body limit of a route that configures none.
 	defaultMaxBodyBytes = 8 << 20
+	// bodyBaseTime and minBodyRate, in bytes a second, bound the time in which a body comes.
+	bodyBaseTime = 10 * time.Second
+	minBodyRate  = 16 << 10
 	// memoryRetryAfter is the Retry-After of requests rejected for lack of memory. It is short
 	// because the load balancer routes the retry to another entry.
 	memoryRetryAfter = 200 * time.Millisecond
@@ -191,8 +195,19 @@
 	if r.ContentLength > 0 && uint64(r.ContentLength) > limit {
 		return nil, tooLarge
 	}
+	expected := limit
+	if r.ContentLength > 0 {
+		expected = uint64(r.ContentLength)
+	}
+	// Errors are ignored: a connection that is closed reports it to the read, and one that has no deadlines isn't a
+	// caller's. After an incomplete body the deadline stays, so that net/http doesn't wait for the rest.
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyBaseTime + time.Duration(expected/minBodyRate)*time.Second))
 	reader := http.MaxBytesReader(w, r.Body, int64(limit))
 	body, err := reservation.ReadAll(reader, r.ContentLength, 0)
+	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	var tooLong *http.MaxBytesError
 	var exhausted *membudget.ExhaustedError
 	if errors.As(err, &tooLong) {
@@ -201,6 +216,9 @@
 	if errors.As(err, &exhausted) {
 		return nil, notRunProblem(KindShed, http.StatusServiceUnavailable, "this entry is short of memory for the body").withRetryAfter(memoryRetryAfter)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, notRunProblem(KindBodyTooSlow, http.StatusRequestTimeout, "the body came too slowly")
+	}
 	if err != nil {
 		return nil, notRunProblem(KindMalformed, http.StatusBadRequest, "the body could not be read")
 	}
