--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,6 @@
 fuzz:
 	go test -run XXX -fuzz FuzzReader -fuzztime 30s ./internal/frame
 	go test -run XXX -fuzz FuzzApply -fuzztime 30s ./internal/config
+	go test -run XXX -fuzz FuzzDecodeRequest -fuzztime 30s ./platform
+	go test -run XXX -fuzz FuzzDecodeAnswer -fuzztime 30s ./platform
+	go test -run XXX -fuzz FuzzRequest -fuzztime 30s ./internal/slots
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -126,7 +127,11 @@
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:min(len(p), written+progressBytes)])
-		if written += n; err != nil || written == len(p) {
+		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.guard.report(c, reasonUnread)
+		}
+		if err != nil || written == len(p) {
 			return written, err
 		}
 	}
--- a/internal/connguard/connguard.go
+++ b/internal/connguard/connguard.go
@@ -60,6 +60,8 @@
 	reasonHead        = "its head is too large"
 	reasonTotalHeads  = "the incomplete heads are too large together"
 	reasonConnections = "there are too many connections"
+	reasonPipelined   = "too many requests came before the answers of those before"
+	reasonUnread      = "the client does not read"
 	reasonStreams     = "the HTTP/2 connections have too many requests together"
 	reasonUnguarded   = "it does not come from a guarded listener"
 )
@@ -98,7 +100,7 @@
 		multiplexed: connHeap{held: func(c *conn) int64 { return c.streams }, place: func(c *conn) *int { return &c.streamPlace }},
 	}
 	var err error
-	g.closed, err = options.Meter.Int64Counter("lagoonlane_connections_limited", metric.WithDescription("connections without a request that were closed for a limit, by listener and reason"))
+	g.closed, err = options.Meter.Int64Counter("lagoonlane_connections_limited", metric.WithDescription("client connections that were closed for a limit, by listener and reason"))
 	return g, errors.WithStack(err)
 }
 
@@ -150,6 +152,7 @@
 func serveGuarded(handler http.Handler, c *conn, w http.ResponseWriter, r *http.Request) {
 	hasBody := r.Body != nil && r.ContentLength != 0
 	if c.beginRequest(hasBody) {
+		c.guard.report(c, reasonPipelined)
 		w.Header().Set("Connection", "close")
 	}
 	if hasBody {
