Poison: track the first 64 parts of a prompt

Cause: of a prompt the first 16 shared parts were kept, to bound what is kept.

A part beyond the first 64 still isn't found (docs/LIMITS.md).

TestDeepPartIsTold fails with 16.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -43,7 +43,7 @@
 	maxAnswers = 8192
 	// maxPartBytes and maxRequestParts bound what is kept of one request.
 	maxPartBytes    = 64
-	maxRequestParts = 16
+	maxRequestParts = 64
 )
 
 // Options configures a Tracker. Now and Logger are required.
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -248,3 +248,25 @@
 	}
 	c.Assert(tracker.answered.last("system").IsZero(), qt.IsFalse)
 }
+
+// A part must be found wherever it stands among the tracked ones, as in a conversation of many turns.
+func TestDeepPartIsTold(t *testing.T) {
+	c, k := qt.New(t), newClock()
+	tracker := k.tracker()
+	const turns = 40
+	prompt := func(deadly string, own int) []string {
+		parts := make([]string, 0, turns+2)
+		for i := range turns {
+			parts = append(parts, fmt.Sprint("turn-", i))
+		}
+		return append(parts, deadly, fmt.Sprint("own-", own))
+	}
+	for i := range crashesToBlock {
+		tracker.RecordAnswer(prompt("sound", i), 0)
+		tracker.RecordCrash(fmt.Sprint("engine-", i), prompt("deadly", i))
+		k.advance(time.Second)
+		tracker.RecordAnswer(prompt("sound", i), 0)
+	}
+	c.Assert(isBlocked(tracker, prompt("deadly", 99)...), qt.IsTrue)
+	c.Assert(isBlocked(tracker, prompt("sound", 99)...), qt.IsFalse)
+}
