Poison: find a part that crashes several engines at once

Cause: three engines or more that crash together, a quarter of all, counted as an outage from outside, whatever their requests had in common.

Change: if this process has seen an answer of another engine since, a part on which all of these engines crashed is taken as their cause. Parts that all requests share stand in such answers; without any answer nothing is blocked, as before.

TestPartOfABatchIsTold fails on the code before.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -67,6 +67,8 @@
 	// the answers that this process has observed itself.
 	answered, ownAnswers answerTimes
 	blocked              map[string]*block
+	// lastAnswer is when the last answer began that this process has observed.
+	lastAnswer time.Time
 }
 
 // crash is the end of one engine incarnation.
@@ -146,6 +148,9 @@
 	at := t.options.Now().Add(-ago)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if at.After(t.lastAnswer) {
+		t.lastAnswer = at
+	}
 	for _, part := range shared {
 		t.ownAnswers.record(part, at)
 		t.answered.record(part, at)
@@ -256,6 +261,7 @@
 	found := map[string]*candidate{}
 	for _, together := range t.crashGroups() {
 		if t.haveCommonCause(together) {
+			t.addSharedCause(together, found)
 			continue
 		}
 		for part, engines := range t.suspectParts(together, found) {
@@ -294,6 +300,21 @@
 	return len(together) >= commonCauseEngines && float64(len(together)) >= commonCauseShare*float64(engines)
 }
 
+// addSharedCause adds the parts on which all engines of a group crashed at once, as a batch of requests with such a part
+// makes them. Other engines must have answered since: parts that all requests share are in these answers, and without
+// any answer the common cause may be outside the prompts.
+func (t *Tracker) addSharedCause(together []*crash, found map[string]*candidate) {
+	if !t.lastAnswer.After(together[len(together)-1].at) {
+		return
+	}
+	for part, engines := range t.suspectParts(together, found) {
+		if engines == len(together) {
+			found[part].crashes += crashesToBlock
+			found[part].weight += minWeight
+		}
+	}
+}
+
 // suspectParts returns the number of crashes of a group under each part since its last answer, and adds the parts to
 // found.
 func (t *Tracker) suspectParts(together []*crash, found map[string]*candidate) map[string]int {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -270,3 +270,22 @@
 	c.Assert(isBlocked(tracker, prompt("deadly", 99)...), qt.IsTrue)
 	c.Assert(isBlocked(tracker, prompt("sound", 99)...), qt.IsFalse)
 }
+
+// A part must be found by one batch of requests that crash engines at once, while the others still answer; not the parts
+// that these answers have, and none while nothing is answered.
+func TestPartOfABatchIsTold(t *testing.T) {
+	c, k := qt.New(t), newClock()
+	tracker := k.tracker()
+	for i := range 5 {
+		engine := fmt.Sprint("engine-", i)
+		tracker.RecordCrash(engine, []string{"system", "deadly", fmt.Sprint("own-", i)})
+		tracker.RecordCrash(engine, []string{"system", fmt.Sprint("thing-", i), "own"})
+		k.advance(5 * time.Millisecond)
+	}
+	k.advance(settleTime)
+	c.Assert(isBlocked(tracker, "system", "deadly", "own"), qt.IsFalse, qt.Commentf("nothing has been answered"))
+	tracker.RecordAnswer([]string{"system", "other", "own"}, 0)
+	c.Assert(isBlocked(tracker, "system", "deadly", "own"), qt.IsTrue)
+	c.Assert(isBlocked(tracker, "system", "thing-1", "own"), qt.IsFalse)
+	c.Assert(tracker.BlockedParts(), qt.Equals, 1)
+}
