Roll-outs: a completed version isn't reverted after a restart and an older copy

Cause: an entry that starts finds the order as active and judges it anew, though the servers of the other version ended with the completion: without anything to compare with, the version is 'not proven by its time'.

Change: an order that a process finds at its start isn't judged by the clock while only servers of its target are ready; after 3 s it is completed, as there is no version to go back to. Containment by evidence of other entries stands, and so does the judgement once another version's server was seen.

--- a/cmd/lagoonlane/lifecyclelog.go
+++ b/cmd/lagoonlane/lifecyclelog.go
@@ -62,7 +62,6 @@
 	manifest atomic.Pointer[fleet.Holder]
 }
 
-// newLifecycleLog creates the log of a process and writes its "starting" line.
 // headLimit returns the size of a caller's head above which its connection is closed.
 func (l *lifecycleLog) headLimit() int64 {
 	limit := int64(minHeadBytes)
@@ -74,6 +73,7 @@
 	return limit
 }
 
+// newLifecycleLog creates the log of a process and writes its "starting" line.
 func newLifecycleLog(logger zerolog.Logger, meter metric.Meter, settings platform.Settings) (*lifecycleLog, error) {
 	l := &lifecycleLog{
 		log: logger, loaded: settings, frontAddress: settings.Front, grace: settings.Bounds.ShutdownGrace,
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -492,3 +492,35 @@
 		})
 	}
 }
+
+// Guards against a completed version that is reverted, which takes the last servers from the service: the store comes back
+// from a copy without the end of the order, and all entries restart meanwhile.
+func TestCompletedVersionStaysAfterRewindAndRestart(t *testing.T) {
+	simulate(t, 3, healthy, func(sim *simulation) {
+		order := sim.placeOrder(1)
+		sim.c.Assert(sim.waitForState(1, rollout.StateCompleted), qt.IsTrue)
+		sim.removeServers(oldVersion)
+		sim.log.truncate(func(r rollout.Record) bool { return r.State == rollout.StateActive })
+		for i := range 3 {
+			sim.restartEntry(i, sim.killEntry(i), order)
+		}
+		sim.sleep(6 * time.Second)
+		before := sim.refusals()
+		sim.sleep(orderDuration)
+		sim.c.Assert(sim.refusals(), qt.Equals, before)
+		sim.c.Assert(sim.log.states(1), qt.DeepEquals, []rollout.State{rollout.StateActive, rollout.StateCompleted})
+	})
+}
+
+// An order on trial is judged by all entries as before if they restart while servers of the other version are ready.
+func TestBadVersionIsRevertedAfterRestart(t *testing.T) {
+	simulate(t, 3, failing(0.8, always), func(sim *simulation) {
+		order := sim.placeOrder(1)
+		sim.sleep(time.Second)
+		for i := range 3 {
+			sim.restartEntry(i, sim.killEntry(i), order)
+		}
+		sim.c.Assert(sim.waitForState(1, rollout.StateReverted), qt.IsTrue)
+		sim.assertExposureBounded()
+	})
+}
--- a/internal/rollout/run.go
+++ b/internal/rollout/run.go
@@ -15,6 +15,9 @@
 	// completionCutoff is the time before the deadline after which a completion is no longer
 	// attempted, because a completion recorded after the deadline does not count.
 	completionCutoff = 150 * time.Millisecond
+	// soleVersionTime is how long the target's servers must be the only ones. Registrations that lapsed in an outage
+	// of the store are back sooner.
+	soleVersionTime = 3 * time.Second
 	// activeRankDelay and finalRankDelay are the delays per rank before an entry records a
 	// state in place of the entries ranked before it. decideRankDelay is the corresponding
 	// delay before it decides whether requests move.
@@ -61,7 +64,9 @@
 			p.observeOverdue(now)
 			p.coverage = p.measureCoverage()
 			c.updateReportedEvidence(p)
-			c.evaluateTarget(p, membership, now)
+			if !c.awaitOthers(v, p, now) {
+				c.evaluateTarget(p, membership, now)
+			}
 		}
 		state, dueSince, rankDelay := p.nextState(now)
 		if state == StateNone || !p.stateKnown || now.Before(p.nextRecord) || now.Sub(dueSince) < time.Duration(membership.Rank)*rankDelay {
@@ -73,6 +78,33 @@
 	return list
 }
 
+// awaitOthers reports whether an order that this process found at its start must not be judged yet, because only servers
+// of its target are ready: it has probably been completed, which ends the other servers, and a store that came back from
+// a copy may have lost its end. If no others appear for soleVersionTime, the order is completed, as there is no version
+// to go back to.
+func (c *Controller) awaitOthers(v *versions, p *orderProgress, now time.Time) bool {
+	if p.countedFromStart || p.sawOthers || p.stopReason != "" {
+		return false
+	}
+	target, others := splitByVersion(c.options.Ready(p.order.Service, now), p.order.Target)
+	switch {
+	case len(others) > 0:
+		p.sawOthers = true
+		return false
+	case len(target) == 0:
+		p.aloneSince = time.Time{}
+		return false
+	case p.aloneSince.IsZero():
+		p.aloneSince = now
+	case now.Sub(p.aloneSince) >= soleVersionTime:
+		p.noChange = true
+		v.trusted[p.order.Target] = true
+		c.options.Logger.Warn().Str("service", p.order.Service).Str("target", p.order.Target).Uint64("order", p.order.ID).
+			Int("servers", len(target)).Str("reason", "no other version is left").Str("outcome", "taken as completed").Msg("roll-out")
+	}
+	return true
+}
+
 // evaluateTarget contains a faulty target, and decides in time whether requests move to it.
 func (c *Controller) evaluateTarget(p *orderProgress, membership Membership, now time.Time) {
 	if p.stopReason != "" {
