Connections: only clients that are ahead of their answers are watched

Cause: a client that sends its next request as soon as it has the answer, before net/http reports the connection idle, started a watch for each request, and each lived for 50 ms or longer.

Change: bytes that come after the answer has begun start none, and a watch ends with its request.

--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -88,8 +88,8 @@
 	// came before the first ones of an answer. pipelined counts the requests in a row that came so.
 	receivedSinceIdle, early bool
 	pipelined                int
-	// watched says that the client of the running request is being watched.
-	watched bool
+	// requests is the number of requests so far, watched that of the request whose client is being watched.
+	requests, watched uint64
 }
 
 // Read implements net.Conn.
@@ -196,7 +196,8 @@
 	} else {
 		c.pipelined = 0
 	}
-	c.early, c.watched = false, false
+	c.early = false
+	c.requests++
 	c.answered.Store(false)
 	if hasBody {
 		g.move(c, classBody)
@@ -255,14 +256,14 @@
 	}
 }
 
-// watch cancels the running request when its client closes the connection. net/http sees that by itself unless the
-// bytes of a further request have come first.
-func (c *conn) watch() {
+// watch cancels a running request when its client closes the connection. net/http sees that by itself unless the bytes
+// of a further request have come first; once the answer has begun, writing it fails.
+func (c *conn) watch(request uint64) {
 	ticker := time.NewTicker(hangupCheckInterval)
 	defer ticker.Stop()
 	for range ticker.C {
 		c.guard.mu.Lock()
-		over := !c.watched || c.class != classServing
+		over := c.requests != request || c.class != classServing || c.answered.Load()
 		c.guard.mu.Unlock()
 		switch {
 		case over:
--- a/internal/connguard/connguard.go
+++ b/internal/connguard/connguard.go
@@ -296,13 +296,16 @@
 	return nil
 }
 
-// receivedEarly processes bytes that have come while a request is running: they belong to the next one. The caller
-// holds g.mu.
+// receivedEarly processes bytes that have come while a request is running: they belong to the next one. A client that
+// has seen the beginning of the answer is not early. The caller holds g.mu.
 func (g *Guard) receivedEarly(c *conn) {
-	c.early = c.early || !c.answered.Load()
-	if !c.watched && c.cancel != nil {
-		c.watched = true
-		go c.watch()
+	if c.answered.Load() {
+		return
+	}
+	c.early = true
+	if c.watched != c.requests && c.cancel != nil {
+		c.watched = c.requests
+		go c.watch(c.requests)
 	}
 }
 
