Roll-outs: an order is not judged beside servers that have ended

Change: an order whose time is over when a process finds it isn't judged by the clock for 6 s beside servers of another version, in which the registrations of servers that have ended lapse.

TestCompletedVersionStaysAfterRewindAndRestart plays registrations that lapse 2 and 4 s after the restart, and fails with them on.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -117,6 +117,7 @@
 		return v.progress
 	}
 	p := newOrderProgress(order, began, v)
+	p.foundAt = now
 	// A process that had read all orders before this one has sent nothing to its target yet.
 	p.countedFromStart = !c.ordersReadUntil.IsZero()
 	p.stateKnown = p.countedFromStart
--- a/internal/rollout/progress.go
+++ b/internal/rollout/progress.go
@@ -55,10 +55,9 @@
 	// noChange is set if all servers already ran the target version when the order was given, or when this process
 	// started.
 	noChange bool
-	// sawOthers is set once servers of another version were ready. aloneSince is when the target's servers were first
-	// found to be the only ones, or zero.
-	sawOthers  bool
-	aloneSince time.Time
+	// foundAt is when this process learned of the order. aloneSince is when the target's servers were first found to be
+	// the only ones, or zero.
+	foundAt, aloneSince time.Time
 	// stopReason is the reason for which the target gets no more requests. If empty, it may get
 	// some.
 	stopReason string
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -494,22 +494,27 @@
 }
 
 // Guards against a completed version that is reverted, which takes the last servers from the service: the store comes back
-// from a copy without the end of the order, and all entries restart meanwhile.
+// from a copy without the end of the order, and with the registrations of the servers that ended with it, and all entries
+// restart meanwhile.
 func TestCompletedVersionStaysAfterRewindAndRestart(t *testing.T) {
-	simulate(t, 3, healthy, func(sim *simulation) {
-		order := sim.placeOrder(1)
-		sim.c.Assert(sim.waitForState(1, rollout.StateCompleted), qt.IsTrue)
-		sim.removeServers(oldVersion)
-		sim.log.truncate(func(r rollout.Record) bool { return r.State == rollout.StateActive })
-		for i := range 3 {
-			sim.restartEntry(i, sim.killEntry(i), order)
-		}
-		sim.sleep(6 * time.Second)
-		before := sim.refusals()
-		sim.sleep(orderDuration)
-		sim.c.Assert(sim.refusals(), qt.Equals, before)
-		sim.c.Assert(sim.log.states(1), qt.DeepEquals, []rollout.State{rollout.StateActive, rollout.StateCompleted})
-	})
+	for _, stale := range []time.Duration{0, 2 * time.Second, 4 * time.Second} {
+		simulate(t, 3, healthy, func(sim *simulation) {
+			order := sim.placeOrder(1)
+			sim.c.Assert(sim.waitForState(1, rollout.StateCompleted), qt.IsTrue)
+			sim.sleep(time.Second)
+			sim.log.truncate(func(r rollout.Record) bool { return r.State == rollout.StateActive })
+			for i := range 3 {
+				sim.restartEntry(i, sim.killEntry(i), order)
+			}
+			sim.sleep(stale)
+			sim.removeServers(oldVersion)
+			sim.sleep(6 * time.Second)
+			before := sim.refusals()
+			sim.sleep(orderDuration)
+			sim.c.Assert(sim.refusals(), qt.Equals, before)
+			sim.c.Assert(sim.log.states(1), qt.DeepEquals, []rollout.State{rollout.StateActive, rollout.StateCompleted})
+		})
+	}
 }
 
 // An order on trial is judged by all entries as before if they restart while servers of the other version are ready.
--- a/internal/rollout/run.go
+++ b/internal/rollout/run.go
@@ -16,8 +16,10 @@
 	// attempted, because a completion recorded after the deadline does not count.
 	completionCutoff = 150 * time.Millisecond
 	// soleVersionTime is how long the target's servers must be the only ones. Registrations that lapsed in an outage
-	// of the store are back sooner.
-	soleVersionTime = 3 * time.Second
+	// of the store are back sooner. staleServersTime is how long after the start of a process servers may be registered
+	// that have ended.
+	soleVersionTime  = 3 * time.Second
+	staleServersTime = 6 * time.Second
 	// activeRankDelay and finalRankDelay are the delays per rank before an entry records a
 	// state in place of the entries ranked before it. decideRankDelay is the corresponding
 	// delay before it decides whether requests move.
@@ -64,9 +66,7 @@
 			p.observeOverdue(now)
 			p.coverage = p.measureCoverage()
 			c.updateReportedEvidence(p)
-			if !c.awaitOthers(v, p, now) {
-				c.evaluateTarget(p, membership, now)
-			}
+			c.evaluateTarget(v, p, membership, now)
 		}
 		state, dueSince, rankDelay := p.nextState(now)
 		if state == StateNone || !p.stateKnown || now.Before(p.nextRecord) || now.Sub(dueSince) < time.Duration(membership.Rank)*rankDelay {
@@ -78,19 +78,19 @@
 	return list
 }
 
-// awaitOthers reports whether an order that this process found at its start must not be judged yet, because only servers
-// of its target are ready: it has probably been completed, which ends the other servers, and a store that came back from
-// a copy may have lost its end. If no others appear for soleVersionTime, the order is completed, as there is no version
-// to go back to.
-func (c *Controller) awaitOthers(v *versions, p *orderProgress, now time.Time) bool {
-	if p.countedFromStart || p.sawOthers || p.stopReason != "" {
+// mayHaveEnded reports whether an order that this process found at its start must not be judged by the clock yet: it may
+// have been completed, which ends the servers of other versions, and a store that came back from a copy may have lost
+// its end, and list servers that have ended. If only servers of the target are ready for soleVersionTime, the order is
+// completed, as there is no version to go back to.
+func (c *Controller) mayHaveEnded(v *versions, p *orderProgress, now time.Time) bool {
+	if p.countedFromStart {
 		return false
 	}
 	target, others := splitByVersion(c.options.Ready(p.order.Service, now), p.order.Target)
 	switch {
 	case len(others) > 0:
-		p.sawOthers = true
-		return false
+		p.aloneSince = time.Time{}
+		return p.foundAt.After(p.moveStart()) && now.Sub(p.foundAt) < staleServersTime
 	case len(target) == 0:
 		p.aloneSince = time.Time{}
 		return false
@@ -106,7 +106,7 @@
 }
 
 // evaluateTarget contains a faulty target, and decides in time whether requests move to it.
-func (c *Controller) evaluateTarget(p *orderProgress, membership Membership, now time.Time) {
+func (c *Controller) evaluateTarget(v *versions, p *orderProgress, membership Membership, now time.Time) {
 	if p.stopReason != "" {
 		return
 	}
@@ -114,6 +114,9 @@
 		c.contain(p, reason, "evidence")
 		return
 	}
+	if c.mayHaveEnded(v, p, now) {
+		return
+	}
 	if p.moving {
 		if now.After(p.deadline().Add(-completionCutoff)) {
 			c.contain(p, "not completed by its time", "clock")
