--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -517,6 +517,25 @@
 	}
 }
 
+// An order whose time is over isn't judged either while a process that has started knows no servers yet.
+func TestCompletedVersionStaysWhileNoServersAreKnown(t *testing.T) {
+	simulate(t, 3, healthy, func(sim *simulation) {
+		order := sim.placeOrder(1)
+		sim.c.Assert(sim.waitForState(1, rollout.StateCompleted), qt.IsTrue)
+		sim.removeServers(oldVersion)
+		sim.removeServers(newVersion)
+		sim.sleep(time.Second)
+		sim.log.truncate(func(r rollout.Record) bool { return r.State == rollout.StateActive })
+		for i := range 3 {
+			sim.restartEntry(i, sim.killEntry(i), order)
+		}
+		sim.sleep(time.Second)
+		sim.addServers(newVersion, 4)
+		sim.sleep(6 * time.Second)
+		sim.c.Assert(sim.log.states(1), qt.DeepEquals, []rollout.State{rollout.StateActive, rollout.StateCompleted})
+	})
+}
+
 // An order on trial is judged by all entries as before if they restart while servers of the other version are ready.
 func TestBadVersionIsRevertedAfterRestart(t *testing.T) {
 	simulate(t, 3, failing(0.8, always), func(sim *simulation) {
--- a/internal/rollout/run.go
+++ b/internal/rollout/run.go
@@ -88,12 +88,10 @@
 	}
 	target, others := splitByVersion(c.options.Ready(p.order.Service, now), p.order.Target)
 	switch {
-	case len(others) > 0:
+	case len(others) > 0 || len(target) == 0:
+		// At the start of a process, no servers may be known yet.
 		p.aloneSince = time.Time{}
 		return p.foundAt.After(p.moveStart()) && now.Sub(p.foundAt) < staleServersTime
-	case len(target) == 0:
-		p.aloneSince = time.Time{}
-		return false
 	case p.aloneSince.IsZero():
 		p.aloneSince = now
 	case now.Sub(p.aloneSince) >= soleVersionTime:
