Roll-outs: an order is reverted only beside a version known to be alive

Cause: a process that starts judged the order by the clock, although neither the copy nor its memory can tell whether the order has ended. The rule before waited for registrations to settle (3 s, 6 s).

Change: whoever has found no server of another version alive (an answer, a renewed registration) 3 s or more after its start or the return doesn't judge by the clock and records no reversal; once only servers of the target are registered, the order is completed. A state is recorded only if the log is in the era of the known orders. A version whose order was superseded while the entry was cut off is served again if nothing else is.

TestCompletedVersionStaysAfterRewindAndRestart let the servers that had ended go on answering, which the platform's don't after a completion; they refuse now, and are listed for up to 30 s instead of 4.

--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -283,7 +283,7 @@
 	bounds := n.settings.Bounds
 	e.rollouts, err = rollout.New(rollout.Options{
 		ID: n.settings.ID, Bounds: rollout.Bounds{Share: bounds.ExposureShare, Slack: bounds.ExposureSlack},
-		Log: &platform.RolloutLog{Store: e.store}, Ready: e.directory.Ready,
+		Log: &platform.RolloutLog{Store: e.store}, Ready: e.directory.Ready, Registered: e.directory.Registered,
 		Membership: func() rollout.Membership { return e.roster.Membership() },
 		Logger:     n.logger, Meter: n.metrics.Meter,
 	})
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -157,11 +157,16 @@
 	return ok && d.acceptsRequests(s, now)
 }
 
-// acceptsRequests reports whether a server accepts new requests: it is not draining, and its
-// registration is present or has not been missing for too long, and its data centre is not evacuated.
+// acceptsRequests reports whether a server accepts new requests: it is registered, and its data centre is not evacuated.
 func (d *Directory) acceptsRequests(s Server, now time.Time) bool {
+	return d.isRegistered(s, now) && !d.isEvacuated(s.DataCentre, now)
+}
+
+// isRegistered reports whether a server is not draining, and its registration is present or has not been missing for
+// too long.
+func (d *Directory) isRegistered(s Server, now time.Time) bool {
 	until, missing := d.keptUntil[s.ID]
-	return s.State == StateReady && (!missing || now.Before(until)) && !d.isEvacuated(s.DataCentre, now)
+	return s.State == StateReady && (!missing || now.Before(until))
 }
 
 func (d *Directory) isEvacuated(dataCentre string, now time.Time) bool {
@@ -228,6 +233,19 @@
 	return list
 }
 
+// Registered returns the servers of a service that are registered and don't drain, also those of evacuated data centres.
+func (d *Directory) Registered(service string, now time.Time) []Server {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var list []Server
+	for _, s := range d.servers {
+		if s.Service == service && d.isRegistered(s, now) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // IDs returns the IDs of all registered servers.
 func (d *Directory) IDs() []string {
 	d.mu.RLock()
--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -123,6 +123,7 @@
 	d.SetEvacuated("a", true)
 	c.Check(ready(now), qt.DeepEquals, []string{"in-b"})
 	c.Check(d.Usable("in-a", now), qt.IsFalse)
+	c.Check(d.Registered("s", now), qt.HasLen, 2)
 	d.HoldEvacuations(now)
 	d.SetEvacuations(nil, now)
 	c.Check(ready(now.Add(time.Second)), qt.DeepEquals, []string{"in-b"}, qt.Commentf("the operator hasn't written it again yet"))
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -33,6 +33,8 @@
 	// ColdUntil is until when the server is slower than usual after its start. It is zero if it
 	// is not.
 	ColdUntil time.Time
+	// RenewedAt is when the server last renewed its registration, as seen by this process. It is zero before.
+	RenewedAt time.Time
 }
 
 // Incarnation identifies one lifetime of a backend server, from its start to its end. It is
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -28,7 +28,7 @@
 	w = newTestEntryWithOptions(t, 0, func(w *testEntry, options *gateway.Options) {
 		var err error
 		controller, err = rollout.New(rollout.Options{
-			ID: "entry", Bounds: rollout.Bounds{Share: 0.1, Slack: 10}, Log: nil, Ready: w.directory.Ready,
+			ID: "entry", Bounds: rollout.Bounds{Share: 0.1, Slack: 10}, Log: nil, Ready: w.directory.Ready, Registered: w.directory.Registered,
 			Membership: func() rollout.Membership { return rollout.Membership{Entries: 1, HasQuorum: true} }, Logger: zerolog.Nop(),
 		})
 		w.c.Assert(err, qt.IsNil)
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -19,8 +19,9 @@
 	ID     string
 	Bounds Bounds
 	Log    Log
-	// Ready returns the servers of a service that accept requests.
-	Ready func(service string, now time.Time) []fleet.Server
+	// Ready returns the servers of a service that accept requests, Registered also those that get none because their
+	// data centre is evacuated.
+	Ready, Registered func(service string, now time.Time) []fleet.Server
 	// Membership returns the rank of this entry and the state of its peers.
 	Membership func() Membership
 	Logger     zerolog.Logger
@@ -41,11 +42,16 @@
 	// ordersReadUntil is the time up to which all orders have been read. If zero, none have
 	// been read.
 	ordersReadUntil time.Time
+	// era is that of the store in which the orders were read.
+	era uint64
+	// knowsSince is the start of the process, or when the store last came back from an older copy. Orders that ended
+	// before then may look open.
+	knowsSince time.Time
 }
 
 // New returns a controller without orders.
 func New(options Options) (*Controller, error) {
-	c := &Controller{options: options, services: map[string]*versions{}}
+	c := &Controller{options: options, services: map[string]*versions{}, knowsSince: time.Now()}
 	var err error
 	c.metrics, err = newMetrics(options.Meter, c)
 	return c, err
@@ -65,15 +71,25 @@
 // seconds old, in which few orders are given.
 const maxPastOrders = 16
 
-// Rewound notes that the store came back from an older copy, which may lack the states of the orders. Each state is
-// recorded again by the first entry in rank, unless the log still holds it.
-func (c *Controller) Rewound() {
+// Rewound sets the era of the store from which the orders are read. If this process knew an earlier era, the store came
+// back from an older copy, which may lack the states of the orders: each known state is recorded again by the first entry
+// in rank, unless the log still holds it, and an order that looks open may have ended.
+func (c *Controller) Rewound(era uint64, known bool) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.era = era
+	if !known {
+		return
+	}
+	c.knowsSince = now
 	for _, v := range c.services {
-		if p := v.progress; p != nil && p.state != StateNone {
-			p.recordLostAt = now
+		clear(v.aliveAt)
+		if p := v.progress; p != nil {
+			p.aloneSince = time.Time{}
+			if p.state != StateNone {
+				p.recordLostAt = now
+			}
 		}
 	}
 }
@@ -117,20 +133,20 @@
 		return v.progress
 	}
 	p := newOrderProgress(order, began, v)
-	p.foundAt = now
 	// A process that had read all orders before this one has sent nothing to its target yet.
 	p.countedFromStart = !c.ordersReadUntil.IsZero()
 	p.stateKnown = p.countedFromStart
 	ready := c.options.Ready(order.Service, now)
 	v.update(ready, c.ordersReadUntil, now)
 	if previous != nil && previous.open() {
-		c.supersede(v, previous, p)
+		c.supersede(v, previous, p, now)
 	}
-	p.noChange = v.trusted[order.Target] && len(otherVersionServers(ready, order.Target)) == 0
+	p.noChange = v.trusted[order.Target] && len(otherVersionServers(c.options.Registered(order.Service, now), order.Target)) == 0
 	if !p.noChange {
 		delete(v.trusted, order.Target)
 		delete(v.firstSeen, order.Target)
 		delete(v.blocked, order.Target)
+		delete(v.superseded, order.Target)
 	}
 	if previous != nil {
 		v.past = append(v.past, previous.order)
@@ -146,9 +162,11 @@
 // supersede lets a new order replace one that has not ended. An order with the same target
 // continues the same trial: it keeps the earlier deadline, the counts and the reason for a
 // containment.
-func (c *Controller) supersede(v *versions, previous, next *orderProgress) {
-	if previous.order.Target != next.order.Target {
-		v.block(previous.order.Target, "another version was ordered during its roll-out")
+func (c *Controller) supersede(v *versions, previous, next *orderProgress, now time.Time) {
+	if target := previous.order.Target; target != next.order.Target {
+		v.block(target, "another version was ordered during its roll-out")
+		// From here on the previous order may have been completed, and its end is superseded in the store.
+		v.superseded[target] = !now.Before(previous.completeAt())
 		return
 	}
 	next.started, next.order.Duration = previous.started, min(previous.order.Duration, next.order.Duration)
--- a/internal/rollout/fakelog_test.go
+++ b/internal/rollout/fakelog_test.go
@@ -22,6 +22,8 @@
 	// refusedEntry is the ID of an entry whose calls fail.
 	refusedEntry string
 	calls        int
+	// era is that of the store.
+	era uint64
 }
 
 // entryLog is the connection of one entry to the log.
@@ -30,12 +32,12 @@
 	id string
 }
 
-func (l entryLog) Current(_ context.Context, service string) (rollout.Record, uint64, error) {
+func (l entryLog) Current(_ context.Context, service string) (rollout.Record, rollout.Position, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
 	if l.down || l.id == l.refusedEntry {
-		return rollout.Record{}, 0, &storeError{"down"}
+		return rollout.Record{}, rollout.Position{}, &storeError{"down"}
 	}
 	var newest rollout.Record
 	for _, r := range l.records {
@@ -43,17 +45,17 @@
 			newest = r
 		}
 	}
-	return newest, uint64(len(l.records)), nil
+	return newest, rollout.Position{Offset: uint64(len(l.records)), Era: l.era}, nil
 }
 
-func (l entryLog) Append(_ context.Context, record rollout.Record, end uint64) error {
+func (l entryLog) Append(_ context.Context, record rollout.Record, end rollout.Position) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
 	if l.down || l.id == l.refusedEntry {
 		return &storeError{"down"}
 	}
-	if end != uint64(len(l.records)) {
+	if end.Offset != uint64(len(l.records)) {
 		return &storeError{"conflict"}
 	}
 	l.records = append(l.records, record)
@@ -69,6 +71,12 @@
 	l.down, l.loseReplies = down, loseReplies
 }
 
+func (l *fakeLog) currentEra() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era
+}
+
 // refuse lets all calls of an entry fail.
 func (l *fakeLog) refuse(id string) {
 	l.mu.Lock()
@@ -89,9 +97,10 @@
 	return list
 }
 
-// truncate drops the records that keep rejects.
-func (l *fakeLog) truncate(keep func(rollout.Record) bool) {
+// rewind plays a return of the store from an older copy, which lacks the records that keep rejects.
+func (l *fakeLog) rewind(keep func(rollout.Record) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.era++
 	l.records = slices.DeleteFunc(l.records, func(r rollout.Record) bool { return !keep(r) })
 }
--- a/internal/rollout/harness_test.go
+++ b/internal/rollout/harness_test.go
@@ -85,6 +85,8 @@
 	partitioned bool
 	// isolated is the ID of an entry that reaches no other one.
 	isolated string
+	// stopped holds the versions whose servers have ended, and are still registered.
+	stopped map[string]bool
 	// requestsPerSecond is the current rate of requests.
 	requestsPerSecond int
 }
@@ -105,7 +107,7 @@
 			T: t, c: qt.New(t), log: &fakeLog{}, random: rand.New(rand.NewPCG(1, 2)), ctx: ctx,
 			versions:          map[string]behaviour{oldVersion: healthy, newVersion: version},
 			requestsPerSecond: requestsPerSecond,
-			sends:             map[string]int{}, running: map[string]int{},
+			sends:             map[string]int{}, running: map[string]int{}, stopped: map[string]bool{},
 		}
 		sim.addServers(oldVersion, 4)
 		for i := range entries {
@@ -155,7 +157,7 @@
 	e := &entry{id: id, boot: fmt.Sprint(time.Now().UnixNano()), cancel: cancel}
 	controller, err := rollout.New(rollout.Options{
 		ID: id, Bounds: bounds, Log: entryLog{sim.log, id}, Ready: sim.ready,
-		Membership: func() rollout.Membership { return sim.membership(id) }, Logger: zerolog.New(zerolog.NewTestWriter(sim.T)),
+		Registered: sim.ready, Membership: func() rollout.Membership { return sim.membership(id) }, Logger: zerolog.New(zerolog.NewTestWriter(sim.T)),
 	})
 	sim.c.Assert(err, qt.IsNil)
 	e.Controller = controller
@@ -191,6 +193,7 @@
 // restartEntry starts a stopped entry again. It reads the order, then the newest record.
 func (sim *simulation) restartEntry(i int, id string, order rollout.Order) {
 	e := sim.startEntry(id)
+	e.Rewound(sim.log.currentEra(), false)
 	e.SetOrder(order)
 	e.MarkOrdersRead(time.Now())
 	if record, _, err := (entryLog{sim.log, id}).Current(sim.ctx, "model"); err == nil {
@@ -266,6 +269,12 @@
 	}
 	server := choice.Preferred[sim.random.IntN(len(choice.Preferred))]
 	version := server.Version
+	if sim.stopped[version] {
+		sim.refusedCount++
+		sim.mu.Unlock()
+		e.BeginSend(server, route).End(rollout.SendResult{Unsent: true, Failed: true})
+		return
+	}
 	if !sim.orderedAt.IsZero() && time.Since(sim.orderedAt) < orderDuration {
 		sim.sends[version]++
 	}
--- a/internal/rollout/progress.go
+++ b/internal/rollout/progress.go
@@ -55,9 +55,10 @@
 	// noChange is set if all servers already ran the target version when the order was given, or when this process
 	// started.
 	noChange bool
-	// foundAt is when this process learned of the order. aloneSince is when the target's servers were first found to be
-	// the only ones, or zero.
-	foundAt, aloneSince time.Time
+	// aloneSince is since when only servers of the target are registered, or zero.
+	aloneSince time.Time
+	// unrevertedLogged is set once a reversal that can't be recorded has been logged.
+	unrevertedLogged bool
 	// stopReason is the reason for which the target gets no more requests. If empty, it may get
 	// some.
 	stopReason string
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -79,10 +80,21 @@
 type Log interface {
 	// Current returns the newest record of a service, or its zero value if there is none, and
 	// the current end of the log.
-	Current(ctx context.Context, service string) (record Record, end uint64, err error)
+	Current(ctx context.Context, service string) (record Record, end Position, err error)
 	// Append adds a record if the log still ends at end. A call that returns an error may have
 	// taken effect, or may do so later.
-	Append(ctx context.Context, record Record, end uint64) error
+	Append(ctx context.Context, record Record, end Position) error
+}
+
+// Position is a position in the log. Offsets of different eras of the store can't be compared.
+type Position struct{ Offset, Era uint64 }
+
+// EraError reports that the log is in another era of the store than the known orders, which are then read again before
+// a state is recorded.
+type EraError struct{ Known, Log uint64 }
+
+func (e *EraError) Error() string {
+	return fmt.Sprintf("the orders are known of era %d, the log is in era %d", e.Known, e.Log)
 }
 
 // Bounds limit the requests that an unproven version may get in the deployment.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -462,11 +462,11 @@
 			sim.c.Assert(sim.waitForState(order.ID, rollout.StateCompleted), qt.IsTrue)
 			sim.sleep(2 * time.Second)
 			sim.removeServers(oldVersion)
-			sim.log.truncate(func(r rollout.Record) bool { return r.Order != order.ID })
+			sim.log.rewind(func(r rollout.Record) bool { return r.Order != order.ID })
 			again := order
 			again.ID = rollout.NewOrderID(1, number)
 			sim.forEachEntry(func(e *entry) {
-				e.Rewound()
+				e.Rewound(1, true)
 				e.SetOrder(rollout.Order{Service: "model", Target: oldVersion, Duration: orderDuration, ID: rollout.NewOrderID(1, 2)})
 			})
 			sim.sleep(time.Second)
@@ -493,39 +493,135 @@
 	}
 }
 
+// completeAndRewind completes an order, which ends the other servers, and lets the store come back from a copy that lacks
+// the completion. The servers that have ended stay registered.
+func completeAndRewind(sim *simulation) rollout.Order {
+	order := sim.placeOrder(1)
+	sim.c.Assert(sim.waitForState(1, rollout.StateCompleted), qt.IsTrue)
+	sim.update(func() { sim.stopped[oldVersion] = true })
+	sim.sleep(time.Second)
+	sim.log.rewind(func(r rollout.Record) bool { return r.State == rollout.StateActive })
+	return order
+}
+
+// assertStaysCompleted checks that an order is never recorded as reverted, and that its target is served in the end.
+func (sim *simulation) assertStaysCompleted() {
+	sim.Helper()
+	sim.sleep(8 * time.Second)
+	before := sim.refusals()
+	sim.sleep(orderDuration)
+	sim.c.Assert(sim.refusals(), qt.Equals, before)
+	sim.c.Assert(sim.log.states(1), qt.DeepEquals, []rollout.State{rollout.StateActive, rollout.StateCompleted})
+}
+
 // Guards against a completed version that is reverted, which takes the last servers from the service: the store comes back
-// from a copy without the end of the order, and with the registrations of the servers that ended with it, and all entries
-// restart meanwhile.
+// from a copy without the end of the order, and with the registrations of the servers that ended with it, however long
+// these last, and all entries restart meanwhile, twice.
 func TestCompletedVersionStaysAfterRewindAndRestart(t *testing.T) {
-	for _, stale := range []time.Duration{0, 2 * time.Second, 4 * time.Second} {
+	for _, stale := range []time.Duration{0, 2 * time.Second, 4 * time.Second, 8 * time.Second, 30 * time.Second} {
 		simulate(t, 3, healthy, func(sim *simulation) {
-			order := sim.placeOrder(1)
-			sim.c.Assert(sim.waitForState(1, rollout.StateCompleted), qt.IsTrue)
-			sim.sleep(time.Second)
-			sim.log.truncate(func(r rollout.Record) bool { return r.State == rollout.StateActive })
+			order := completeAndRewind(sim)
+			for i := range 3 {
+				sim.restartEntry(i, sim.killEntry(i), order)
+			}
+			sim.sleep(stale / 2)
 			for i := range 3 {
 				sim.restartEntry(i, sim.killEntry(i), order)
 			}
-			sim.sleep(stale)
+			sim.sleep(stale / 2)
 			sim.removeServers(oldVersion)
-			sim.sleep(6 * time.Second)
+			sim.assertStaysCompleted()
+		})
+	}
+}
+
+// The copy may even lack the order, which the operator then writes again: to the processes that have started since, it
+// looks like a new one.
+func TestCompletedVersionStaysAfterCopyWithoutTheOrder(t *testing.T) {
+	for _, written := range []time.Duration{0, time.Second, 5 * time.Second} {
+		simulate(t, 3, healthy, func(sim *simulation) {
+			order := completeAndRewind(sim)
+			sim.log.rewind(func(rollout.Record) bool { return false })
+			for i := range 3 {
+				id := sim.killEntry(i)
+				e := sim.startEntry(id)
+				e.Rewound(sim.log.currentEra(), false)
+				e.MarkOrdersRead(time.Now())
+				sim.update(func() { sim.entries[i] = e })
+			}
+			sim.sleep(written)
+			sim.forEachEntry(func(e *entry) { e.SetOrder(order) })
+			sim.sleep(4*time.Second - written)
+			sim.removeServers(oldVersion)
+			sim.sleep(8 * time.Second)
 			before := sim.refusals()
 			sim.sleep(orderDuration)
 			sim.c.Assert(sim.refusals(), qt.Equals, before)
-			sim.c.Assert(sim.log.states(1), qt.DeepEquals, []rollout.State{rollout.StateActive, rollout.StateCompleted})
+			states := sim.log.states(1)
+			sim.c.Assert(states[len(states)-1], qt.Equals, rollout.StateCompleted)
+		})
+	}
+}
+
+// Guards against an entry that was cut off when the order ended, and reverts it by the clock or by what it remembers
+// after the others have restarted.
+func TestCompletedVersionStaysWithAnEntryThatWasCutOff(t *testing.T) {
+	for _, version := range []behaviour{healthy, slowing(1, func(_ string, since time.Duration, _ int) bool { return since > orderDuration+time.Second })} {
+		simulate(t, 3, version, func(sim *simulation) {
+			order := sim.placeOrder(1)
+			sim.sleep(orderDuration - 4*time.Second)
+			sim.update(func() { sim.isolated = "entry-2" })
+			sim.log.refuse("entry-2")
+			sim.c.Assert(sim.waitForState(1, rollout.StateCompleted), qt.IsTrue)
+			sim.update(func() { sim.stopped[oldVersion] = true })
+			sim.sleep(5 * time.Second)
+			sim.log.rewind(func(r rollout.Record) bool { return r.State == rollout.StateActive })
+			for i := range 2 {
+				sim.restartEntry(i, sim.killEntry(i), order)
+			}
+			sim.log.refuse("")
+			// The entry reaches the log before it reads the orders of the new era.
+			sim.sleep(time.Second)
+			sim.entries[2].Rewound(1, true)
+			sim.update(func() { sim.isolated = "" })
+			sim.sleep(3 * time.Second)
+			sim.removeServers(oldVersion)
+			sim.assertStaysCompleted()
 		})
 	}
 }
 
+// Guards against an entry that was cut off while an order ended and another was given, and keeps blocking the version
+// that runs since.
+func TestVersionThatRunsIsServedAfterTwoOrders(t *testing.T) {
+	simulate(t, 3, healthy, func(sim *simulation) {
+		sim.placeOrder(1)
+		sim.sleep(orderDuration - 4*time.Second)
+		sim.update(func() { sim.isolated = "entry-2" })
+		sim.log.refuse("entry-2")
+		sim.c.Assert(sim.waitForState(1, rollout.StateCompleted), qt.IsTrue)
+		sim.removeServers(oldVersion)
+		sim.sleep(time.Second)
+		next := rollout.Order{Service: "model", Target: "v3", Duration: orderDuration, ID: 2}
+		for _, e := range sim.entries[:2] {
+			e.SetOrder(next)
+		}
+		sim.sleep(time.Second)
+		sim.log.refuse("")
+		sim.update(func() { sim.isolated = "" })
+		sim.sleep(5 * time.Second)
+		before := sim.refusals()
+		sim.sleep(5 * time.Second)
+		sim.c.Assert(sim.refusals(), qt.Equals, before)
+	})
+}
+
 // An order whose time is over isn't judged either while a process that has started knows no servers yet.
 func TestCompletedVersionStaysWhileNoServersAreKnown(t *testing.T) {
 	simulate(t, 3, healthy, func(sim *simulation) {
-		order := sim.placeOrder(1)
-		sim.c.Assert(sim.waitForState(1, rollout.StateCompleted), qt.IsTrue)
+		order := completeAndRewind(sim)
 		sim.removeServers(oldVersion)
 		sim.removeServers(newVersion)
-		sim.sleep(time.Second)
-		sim.log.truncate(func(r rollout.Record) bool { return r.State == rollout.StateActive })
 		for i := range 3 {
 			sim.restartEntry(i, sim.killEntry(i), order)
 		}
@@ -536,6 +632,28 @@
 	})
 }
 
+// Guards against an order that stays open because nobody sends requests: the registrations that servers renew show that
+// there is a version to go back to.
+func TestOrderWithoutRequestsIsReverted(t *testing.T) {
+	simulate(t, 3, healthy, func(sim *simulation) {
+		sim.update(func() { sim.requestsPerSecond = 1; sim.versions[oldVersion] = failing(1, always) })
+		order := sim.placeOrder(1)
+		sim.sleep(orderDuration / 2)
+		for i := range 3 {
+			sim.restartEntry(i, sim.killEntry(i), order)
+		}
+		sim.sleep(orderDuration)
+		sim.c.Assert(sim.log.states(1), qt.DeepEquals, []rollout.State{rollout.StateActive}, qt.Commentf("no server is known to be alive"))
+		sim.update(func() {
+			for i := range sim.servers {
+				sim.servers[i].RenewedAt = time.Now()
+			}
+		})
+		sim.sleep(3 * time.Second)
+		sim.c.Assert(sim.log.states(1), qt.DeepEquals, []rollout.State{rollout.StateActive, rollout.StateReverted})
+	})
+}
+
 // An order on trial is judged by all entries as before if they restart while servers of the other version are ready.
 func TestBadVersionIsRevertedAfterRestart(t *testing.T) {
 	simulate(t, 3, failing(0.8, always), func(sim *simulation) {
--- a/internal/rollout/run.go
+++ b/internal/rollout/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/lagoonlane/lagoonlane/internal/health"
 )
 
@@ -15,11 +17,12 @@
 	// completionCutoff is the time before the deadline after which a completion is no longer
 	// attempted, because a completion recorded after the deadline does not count.
 	completionCutoff = 150 * time.Millisecond
-	// soleVersionTime is how long the target's servers must be the only ones. Registrations that lapsed in an outage
-	// of the store are back sooner. staleServersTime is how long after the start of a process servers may be registered
-	// that have ended.
-	soleVersionTime  = 3 * time.Second
-	staleServersTime = 6 * time.Second
+	// soleVersionTime is how long the servers of one version must be the only ones before no others are expected.
+	// Registrations that lapsed in an outage of the store are back sooner.
+	soleVersionTime = 3 * time.Second
+	// aliveDelay is how long after the start of a process, or a return of the store from an older copy, a server is not
+	// yet counted as alive: the platform may just be ending it because of a completion that this process doesn't know.
+	aliveDelay = 3 * time.Second
 	// activeRankDelay and finalRankDelay are the delays per rank before an entry records a
 	// state in place of the entries ranked before it. decideRankDelay is the corresponding
 	// delay before it decides whether requests move.
@@ -62,13 +65,21 @@
 		if p == nil || (p.state.Final() && p.recordLostAt.IsZero()) {
 			continue
 		}
+		c.observeRenewals(v, p, now)
 		if p.open() {
 			p.observeOverdue(now)
 			p.coverage = p.measureCoverage()
 			c.updateReportedEvidence(p)
 			c.evaluateTarget(v, p, membership, now)
+			if !c.hasAlternative(v, p) {
+				c.completeIfAlone(v, p, now)
+			}
 		}
 		state, dueSince, rankDelay := p.nextState(now)
+		if state == StateReverted && p.recordLostAt.IsZero() && !c.hasAlternative(v, p) {
+			c.logUnreverted(p)
+			continue
+		}
 		if state == StateNone || !p.stateKnown || now.Before(p.nextRecord) || now.Sub(dueSince) < time.Duration(membership.Rank)*rankDelay {
 			continue
 		}
@@ -78,29 +89,53 @@
 	return list
 }
 
-// mayHaveEnded reports whether an order that this process found at its start must not be judged by the clock yet: it may
-// have been completed, which ends the servers of other versions, and a store that came back from a copy may have lost
-// its end, and list servers that have ended. If only servers of the target are ready for soleVersionTime, the order is
-// completed, as there is no version to go back to.
-func (c *Controller) mayHaveEnded(v *versions, p *orderProgress, now time.Time) bool {
-	if p.countedFromStart {
-		return false
+// hasAlternative reports whether a server of another version than the target was alive since this process has known the
+// orders. Otherwise the order may have been completed before, which ends the servers of other versions: a copy from which
+// the store came back may lack the completion and list servers that have ended. Reverting the order would then take the
+// last servers of the service.
+func (c *Controller) hasAlternative(v *versions, p *orderProgress) bool {
+	for version, at := range v.aliveAt {
+		if version != p.order.Target && at.Sub(c.knowsSince) >= aliveDelay {
+			return true
+		}
+	}
+	return false
+}
+
+// observeRenewals records the servers that have renewed their registrations as alive.
+func (c *Controller) observeRenewals(v *versions, p *orderProgress, now time.Time) {
+	for _, server := range c.options.Registered(p.order.Service, now) {
+		if server.RenewedAt.After(c.knowsSince) {
+			v.recordAlive(server.Version, server.RenewedAt)
+		}
 	}
-	target, others := splitByVersion(c.options.Ready(p.order.Service, now), p.order.Target)
+}
+
+// completeIfAlone takes an order as completed if no server of another version was known to be alive, and only servers of
+// the target are registered for soleVersionTime: there is no version to go back to.
+func (c *Controller) completeIfAlone(v *versions, p *orderProgress, now time.Time) {
+	target, others := splitByVersion(c.options.Registered(p.order.Service, now), p.order.Target)
 	switch {
 	case len(others) > 0 || len(target) == 0:
-		// At the start of a process, no servers may be known yet.
 		p.aloneSince = time.Time{}
-		return p.foundAt.After(p.moveStart()) && now.Sub(p.foundAt) < staleServersTime
 	case p.aloneSince.IsZero():
 		p.aloneSince = now
 	case now.Sub(p.aloneSince) >= soleVersionTime:
-		p.noChange = true
-		v.trusted[p.order.Target] = true
+		p.noChange, p.stopReason = true, ""
+		v.trust(p.order.Target)
 		c.options.Logger.Warn().Str("service", p.order.Service).Str("target", p.order.Target).Uint64("order", p.order.ID).
 			Int("servers", len(target)).Str("reason", "no other version is left").Str("outcome", "taken as completed").Msg("roll-out")
 	}
-	return true
+}
+
+// logUnreverted logs, once an order, that its reversal isn't recorded.
+func (c *Controller) logUnreverted(p *orderProgress) {
+	if p.unrevertedLogged {
+		return
+	}
+	p.unrevertedLogged = true
+	c.options.Logger.Warn().Str("service", p.order.Service).Str("target", p.order.Target).Uint64("order", p.order.ID).
+		Str("reason", "no other version is known to be alive").Str("outcome", "not reverted yet").Msg("roll-out")
 }
 
 // evaluateTarget contains a faulty target, and decides in time whether requests move to it.
@@ -112,7 +147,8 @@
 		c.contain(p, reason, "evidence")
 		return
 	}
-	if c.mayHaveEnded(v, p, now) {
+	if !c.hasAlternative(v, p) {
+		// The clock says nothing about an order that may have ended.
 		return
 	}
 	if p.moving {
@@ -187,6 +223,12 @@
 	if err != nil {
 		return StateNone, err
 	}
+	c.mu.Lock()
+	known := c.era
+	c.mu.Unlock()
+	if end.Era != known {
+		return StateNone, errors.WithStack(&EraError{Known: known, Log: end.Era})
+	}
 	if current.Order > p.order.ID {
 		// A later order is in progress and will reach this entry through the store or a peer.
 		return StateNone, nil
--- a/internal/rollout/send.go
+++ b/internal/rollout/send.go
@@ -25,6 +25,7 @@
 	// none.
 	progress *orderProgress
 	route    string
+	version  string
 	target   bool
 	// cold is set if the server was still warming up. Its times are not used as evidence.
 	cold bool
@@ -58,7 +59,7 @@
 	defer c.mu.Unlock()
 	v := c.serviceVersions(server.Service)
 	now := time.Now()
-	s := &Send{controller: c, versions: v, route: route, sent: now, cold: now.Before(server.ColdUntil)}
+	s := &Send{controller: c, versions: v, route: route, version: server.Version, sent: now, cold: now.Before(server.ColdUntil)}
 	p := v.progress
 	if p == nil || !p.open() {
 		return s
@@ -78,6 +79,7 @@
 	}
 	s.controller.mu.Lock()
 	defer s.controller.mu.Unlock()
+	s.versions.recordAlive(s.version, time.Now())
 	s.observeFirst(elapsed)
 }
 
@@ -104,6 +106,9 @@
 	if result.Unsent || result.Rejected {
 		return
 	}
+	if !result.Cancelled && !result.Failed && !result.Broken {
+		s.versions.recordAlive(s.version, time.Now())
+	}
 	if !s.target {
 		s.versions.duration(s.route).add(took)
 	}
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -23,6 +23,13 @@
 	trusted map[string]bool
 	// blocked versions get no requests. The value is the reason.
 	blocked map[string]string
+	// superseded holds the blocked versions whose order was superseded before this process learned how it ended.
+	superseded map[string]bool
+	// starvedSince is since when no server of a trusted version is ready, or zero.
+	starvedSince time.Time
+	// aliveAt holds when a server of each version was last known to be alive, by its answers or by the renewal of its
+	// registration. It is cleared when the store comes back from an older copy.
+	aliveAt map[string]time.Time
 	// firstSeen holds when versions that are neither trusted nor blocked were first seen.
 	firstSeen map[string]time.Time
 	// progress is that of the newest order, nil if there is none.
@@ -37,7 +44,7 @@
 
 func newVersions() *versions {
 	return &versions{
-		trusted: map[string]bool{}, blocked: map[string]string{}, firstSeen: map[string]time.Time{},
+		trusted: map[string]bool{}, blocked: map[string]string{}, superseded: map[string]bool{}, aliveAt: map[string]time.Time{}, firstSeen: map[string]time.Time{},
 		evidence: health.NewCollector(health.CollectorOptions{}), durations: map[string]*durations{},
 	}
 }
@@ -58,8 +65,18 @@
 		v.trustOldest(ready, target, onTrial)
 	}
 	noneTrusted := !v.anyTrusted(ready)
+	switch {
+	case !noneTrusted:
+		v.starvedSince = time.Time{}
+	case v.starvedSince.IsZero():
+		v.starvedSince = now
+	}
 	for _, server := range ready {
 		version := server.Version
+		if noneTrusted && v.superseded[version] && now.Sub(v.starvedSince) >= soleVersionTime {
+			// Its order was completed: the servers that it replaced are gone.
+			v.trust(version)
+		}
 		if v.trusted[version] || v.blocked[version] != "" || (onTrial && version == target) {
 			continue
 		}
@@ -125,14 +142,27 @@
 func (v *versions) applyFinalState(p *orderProgress) {
 	target := p.order.Target
 	if p.state == StateCompleted {
-		delete(v.blocked, target)
-		delete(v.firstSeen, target)
-		v.trusted[target] = true
+		v.trust(target)
 		return
 	}
 	v.block(target, "its roll-out was reverted")
 }
 
+// trust lets a version get requests without restriction.
+func (v *versions) trust(version string) {
+	delete(v.blocked, version)
+	delete(v.superseded, version)
+	delete(v.firstSeen, version)
+	v.trusted[version] = true
+}
+
+// recordAlive records that a server of a version was alive at a time.
+func (v *versions) recordAlive(version string, at time.Time) {
+	if at.After(v.aliveAt[version]) {
+		v.aliveAt[version] = at
+	}
+}
+
 // readAgain reports whether an order of a later era of the store is one that is known: the current one, which the
 // operator may have written again under another number, or an earlier one, which the copy holds as the newest.
 func (v *versions) readAgain(order Order, now time.Time) bool {
@@ -157,5 +187,6 @@
 func (v *versions) block(version, reason string) {
 	delete(v.trusted, version)
 	delete(v.firstSeen, version)
+	delete(v.superseded, version)
 	v.blocked[version] = reason
 }
