Poison: a part is tracked at any depth of a prompt, and with an id of any length

Cause: of a prompt the first 64 parts were tracked, none if one had an id of more than 64 bytes, and 8 requests of a crash, because evidence held the ids and every exchange between entries carried all of it.

Change: parts are numbers of eight bytes (own interface too); evidence is bounded by its parts, not by position, and loses those that are answered; entries send each other only what the other one lacks; large evidence is judged less often.

TestReportsAreBounded is written anew for the new reports and checks the total as well.

--- a/internal/entry/poison.go
+++ b/internal/entry/poison.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 )
 
@@ -17,9 +18,6 @@
 // promptParts returns the leading blocks of a prompt, each by its hash, as parts for the poison tracker. The last
 // part stands for the rest of the prompt.
 func (c *call) promptParts() []string {
-	if len(c.prefixHashes) == 0 {
-		return nil
-	}
 	parts := make([]string, 0, len(c.prefixHashes)+1)
 	for _, hash := range c.prefixHashes {
 		parts = append(parts, strconv.FormatUint(hash, 16))
@@ -29,11 +27,11 @@
 
 // checkPrompt returns a problem if engines crash under the beginning of the call's prompt.
 func (e *Entry) checkPrompt(c *call) *Problem {
-	part, left, blocked := e.poison.Blocked(c.promptParts())
+	position, left, blocked := e.poison.Blocked(poison.NewPrompt(c.promptParts()))
 	if !blocked {
 		return nil
 	}
-	return notRunProblem(KindPoisoned, http.StatusServiceUnavailable, "engines crash under the beginning of the prompt: "+part).withRetryAfter(left)
+	return notRunProblem(KindPoisoned, http.StatusServiceUnavailable, "engines crash under the beginning of the prompt: "+c.promptParts()[position]).withRetryAfter(left)
 }
 
 // observePrompt records whether the engine survived the beginning of its answer. A sidecar resumes an answer whose
@@ -43,10 +41,10 @@
 	switch {
 	case !c.forEngine():
 	case err == nil && r.chunks > 0:
-		e.poison.RecordAnswer(c.promptParts(), time.Since(r.firstChunkTime))
+		e.poison.RecordAnswer(poison.NewPrompt(c.promptParts()), time.Since(r.firstChunkTime))
 	case errors.As(err, &fault) && fault.Outcome != lanepb.Outcome_OUTCOME_NOT_RUN && fault.Reason == lanepb.RefusalReason_REFUSAL_REASON_UNSPECIFIED &&
 		r.chunks == 0 && ctx.Err() == nil:
 		incarnation := s.target.BackendServer + "@" + strconv.FormatInt(time.Now().Truncate(crashInterval).Unix(), 10)
-		e.poison.RecordCrash(incarnation, c.promptParts())
+		e.poison.RecordCrash(incarnation, poison.NewPrompt(c.promptParts()))
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/membudget"
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
 
@@ -47,7 +48,9 @@
 	route       *fleet.Route
 	service     string
 	engine      *fleet.Engine
-	account     *fleet.Account
+	// prompt is that of a request to an engine.
+	prompt  poison.Prompt
+	account *fleet.Account
 	// finished is set once the request's log line has been written.
 	finished bool
 	// memory is the memory charged to the request: its body, and its answer while it is
@@ -164,7 +167,9 @@
 		}
 	}
 	call.service = g.pickService(call.route)
-	call.engine = call.manifest.Services[call.service].Engine
+	if call.engine = call.manifest.Services[call.service].Engine; call.engine != nil {
+		call.prompt = poison.NewPrompt(call.info.partIDs())
+	}
 	return nil
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -205,7 +205,7 @@
 				p.longestPause = max(p.longestPause, now.Sub(last))
 				if begun := now.Sub(sent) - result.firstEvent; !result.begun && begun >= answerBeginTime {
 					result.begun = true
-					g.options.Poison.RecordAnswer(call.partIDs(), begun)
+					g.options.Poison.RecordAnswer(call.prompt, begun)
 				}
 			}
 			last = now
@@ -231,7 +231,7 @@
 	result.verdict = verdictAnswered
 	if !result.begun {
 		result.begun = true
-		g.options.Poison.RecordAnswer(call.partIDs(), time.Since(sent)-result.firstEvent)
+		g.options.Poison.RecordAnswer(call.prompt, time.Since(sent)-result.firstEvent)
 	}
 	return result
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 		patience:      patience.New(),
 	}
 	var err error
-	g.metrics, err = newMetrics(options.Meter, g.schedulingDelay, g.memory.Used, options.Requests, options.Poison.BlockedParts)
+	g.metrics, err = newMetrics(options.Meter, g.schedulingDelay, g.memory.Used, options.Requests, options.Poison.Blocks)
 	if err != nil {
 		return g, err
 	}
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -19,13 +19,10 @@
 	crashProbeTimeout = 100 * time.Millisecond
 )
 
-// partIDs returns the ids of the prompt parts of a request to an engine.
-func (c *call) partIDs() []string {
-	if c.engine == nil {
-		return nil
-	}
-	ids := make([]string, len(c.info.Parts))
-	for i, part := range c.info.Parts {
+// partIDs returns the ids of the prompt parts.
+func (i RequestInfo) partIDs() []string {
+	ids := make([]string, len(i.Parts))
+	for i, part := range i.Parts {
 		ids[i] = part.ID
 	}
 	return ids
@@ -33,11 +30,11 @@
 
 // checkPrompt refuses a call with a prompt part that crashes engines.
 func (g *Gateway) checkPrompt(call *call) *Failure {
-	part, left, blocked := g.options.Poison.Blocked(call.partIDs())
+	position, left, blocked := g.options.Poison.Blocked(call.prompt)
 	if !blocked {
 		return nil
 	}
-	return unavailable(KindPoisoned, left, "engines crash on a part of the prompt: "+part)
+	return unavailable(KindPoisoned, left, "engines crash on a part of the prompt: "+call.info.Parts[position].ID)
 }
 
 // checkCrash records the crash of an engine that ended while it was about to begin its answer. A broken
@@ -53,6 +50,6 @@
 	g.logger.Info().Str("request_id", call.info.ID).Str("backend_server", server.ID).Str("address", server.Address).
 		Bool("crashed", crashed).Err(err).Msg("check of a backend server after a broken answer")
 	if crashed {
-		g.options.Poison.RecordCrash(server.Incarnation().String(), call.partIDs())
+		g.options.Poison.RecordCrash(server.Incarnation().String(), call.prompt)
 	}
 }
--- a/internal/poison/answers.go
+++ b/internal/poison/answers.go
@@ -8,11 +8,14 @@
 
 // answerTimes holds when a request with a part was last answered, for the maxAnswers parts that were answered last.
 type answerTimes struct {
-	times *simplelru.LRU[string, time.Time]
+	times *simplelru.LRU[part, answer]
 }
 
+// answer holds when a part was last answered, at any process and at this one.
+type answer struct{ last, own time.Time }
+
 func newAnswerTimes() answerTimes {
-	times, err := simplelru.NewLRU[string, time.Time](maxAnswers, nil)
+	times, err := simplelru.NewLRU[part, answer](maxAnswers, nil)
 	if err != nil {
 		// The only error is a size that is not positive.
 		panic(err)
@@ -21,16 +24,54 @@
 }
 
 // last returns when a part was last answered, or the zero time.
-func (a answerTimes) last(part string) time.Time {
-	at, _ := a.times.Peek(part)
-	return at
+func (a answerTimes) last(id part) time.Time {
+	known, _ := a.times.Peek(id)
+	return known.last
+}
+
+// own returns when a part was last answered at this process, or the zero time.
+func (a answerTimes) own(id part) time.Time {
+	known, _ := a.times.Peek(id)
+	return known.own
 }
 
-// record stores an answer if it is later than the known one.
-func (a answerTimes) record(part string, at time.Time) {
-	if at.After(a.last(part)) {
-		a.times.Add(part, at)
+// record stores an answer, at this process or at another one, if it is later than the known one.
+func (a answerTimes) record(id part, at time.Time, own bool) {
+	known, _ := a.times.Peek(id)
+	later := known
+	if at.After(known.last) {
+		later.last = at
+	}
+	if own && at.After(known.own) {
+		later.own = at
+	}
+	if later != known {
+		a.times.Add(id, later)
 	}
 }
 
 func (a answerTimes) len() int { return a.times.Len() }
+
+// recentAnswers is the number of answers whose times are kept.
+const recentAnswers = 32
+
+// answerCounter counts the answers that this process has observed, of any prompt.
+type answerCounter struct {
+	recent [recentAnswers]time.Time
+	next   int
+}
+
+func (a *answerCounter) record(at time.Time) {
+	a.recent[a.next%recentAnswers] = at
+	a.next++
+}
+
+// after returns the number of answers after a time, at most recentAnswers.
+func (a *answerCounter) after(t time.Time) (n int) {
+	for _, at := range a.recent {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/poison/exchange.go
+++ b/internal/poison/exchange.go
@@ -1,9 +1,14 @@
 package poison
 
 import (
+	"encoding/binary"
+	"maps"
+	"math"
 	"slices"
-	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -14,72 +19,100 @@
 	// well before they expire, so that two processes don't renew them for each other.
 	maxCrashRelayAge = crashTTL / 2
 	maxBlockRelayAge = blockTTL - time.Minute
+	// maxReportParts bounds the parts in one report; what is left out follows in later ones. The first item is sent
+	// whatever its size. maxReportAnswers bounds the answers in one report.
+	maxReportParts   = 1 << 12
+	maxReportAnswers = 1 << 11
+	// maxKnownBy bounds the peers of which is known that they have an item. It is sent to others again and again.
+	maxKnownBy = 1 << 10
+
+	partBytes   = 8
+	answerBytes = partBytes + 4
 )
 
-// Report is the evidence that a process sends to its peers: its own answers, and the crashes and blocks that it
-// knows. Ages are in milliseconds at the time of the report.
+// Report is the evidence that a process sends to a peer: what the peer isn't known to have. Ages are in milliseconds at
+// the time of the report. Parts have eight bytes each; ids hash all that an item said when it was new.
 type Report struct {
-	Crashes []CrashReport `json:"crashes,omitempty"`
-	// AnswerAges holds the age of the process's own last answer to each part of the crashes, and to each blocked
-	// part, that has one.
-	AnswerAges map[string]int64 `json:"answer_ages_ms,omitempty"`
-	Blocked    []BlockReport    `json:"blocked,omitempty"`
+	// Have holds the ids of all requests and blocks that the sender has, eight bytes each.
+	Have     []byte          `json:"have,omitempty"`
+	Suspects []SuspectReport `json:"suspects,omitempty"`
+	// Answers holds the sender's own answers to parts that are or were suspected: the part, and the age in four bytes.
+	Answers []byte        `json:"answers,omitempty"`
+	Blocked []BlockReport `json:"blocked,omitempty"`
 }
 
-// CrashReport describes the crash of one engine incarnation that no blocked part explains.
-type CrashReport struct {
+// SuspectReport describes a request whose answer was about to begin when its engine crashed.
+type SuspectReport struct {
+	ID          uint64 `json:"id"`
 	Incarnation string `json:"incarnation"`
-	AgeMS       int64  `json:"age_ms"`
-	// Suspects holds the shared prompt parts of the requests whose answers were about to begin.
-	Suspects [][]string `json:"suspects"`
+	// AgeMS is that of the crash.
+	AgeMS int64 `json:"age_ms"`
+	// Parts holds the parts that have not been answered since.
+	Parts []byte `json:"parts"`
 }
 
-// BlockReport describes a blocked part.
+// BlockReport describes a block.
 type BlockReport struct {
-	Part string `json:"part"`
-	// AgeMS is the time since it was blocked, LastCrashAgeMS that since the last crash under it.
+	ID uint64 `json:"id"`
+	// Parts is empty if the peer has the block.
+	Parts []byte `json:"parts,omitempty"`
+	// AgeMS is the time since it was set, LastCrashAgeMS that since the last crash under it.
 	AgeMS          int64 `json:"age_ms"`
 	LastCrashAgeMS int64 `json:"last_crash_age_ms"`
 }
 
-// Report returns the report for peers, or nil if there is nothing to report.
-func (t *Tracker) Report() *Report {
+// Report returns the report for a peer, or nil if there is nothing to report.
+func (t *Tracker) Report(peer string) *Report {
 	if t == nil {
 		return nil
 	}
 	now := t.options.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.crashes) == 0 && len(t.blocked) == 0 {
+	if len(t.crashes) == 0 && len(t.blocks) == 0 {
 		return nil
 	}
 	t.update(now)
-	report := &Report{AnswerAges: map[string]int64{}}
-	for incarnation, c := range t.crashes {
-		report.Crashes = append(report.Crashes, CrashReport{Incarnation: incarnation, AgeMS: now.Sub(c.at).Milliseconds(), Suspects: slices.Clone(c.suspects)})
-		for _, parts := range c.suspects {
-			for _, part := range parts {
-				t.reportAnswer(report, part, now)
-			}
+	r := &Report{}
+	size := 0
+	fits := func(parts []part) bool {
+		if size > 0 && size+len(parts) > maxReportParts {
+			return false
 		}
+		size += len(parts)
+		return true
 	}
-	for part, b := range t.blocked {
-		t.reportAnswer(report, part, now)
-		report.Blocked = append(report.Blocked, BlockReport{Part: part, AgeMS: now.Sub(b.since).Milliseconds(), LastCrashAgeMS: now.Sub(b.lastCrash).Milliseconds()})
+	for _, id := range slices.Sorted(maps.Keys(t.blocks)) {
+		b := t.blocks[id]
+		r.Have = binary.LittleEndian.AppendUint64(r.Have, id)
+		report := BlockReport{ID: id, AgeMS: now.Sub(b.since).Milliseconds(), LastCrashAgeMS: now.Sub(b.lastCrash).Milliseconds()}
+		if !b.knownBy[peer] && fits(b.parts) {
+			report.Parts = packParts(b.parts)
+		}
+		r.Blocked = append(r.Blocked, report)
 	}
-	slices.SortFunc(report.Crashes, func(a, b CrashReport) int { return strings.Compare(a.Incarnation, b.Incarnation) })
-	slices.SortFunc(report.Blocked, func(a, b BlockReport) int { return strings.Compare(a.Part, b.Part) })
-	return report
-}
-
-func (t *Tracker) reportAnswer(report *Report, part string, now time.Time) {
-	if at := t.ownAnswers.last(part); !at.IsZero() {
-		report.AnswerAges[part] = now.Sub(at).Milliseconds()
+	for _, incarnation := range slices.Sorted(maps.Keys(t.crashes)) {
+		c := t.crashes[incarnation]
+		for id, s := range c.requests {
+			r.Have = binary.LittleEndian.AppendUint64(r.Have, id)
+			if !s.knownBy[peer] && fits(s.parts) {
+				r.Suspects = append(r.Suspects, SuspectReport{ID: id, Incarnation: incarnation, AgeMS: now.Sub(c.at).Milliseconds(), Parts: packParts(s.parts)})
+			}
+		}
+	}
+	for id, at := range t.cleared {
+		if len(r.Answers) >= maxReportAnswers*answerBytes {
+			// The order of a map differs each time, so that all are sent in the end.
+			break
+		}
+		r.Answers = binary.LittleEndian.AppendUint64(r.Answers, uint64(id))
+		r.Answers = binary.LittleEndian.AppendUint32(r.Answers, uint32(min(now.Sub(at).Milliseconds(), math.MaxUint32)))
 	}
+	return r
 }
 
-// HandleReport takes over the evidence of a peer, as of a time on the clock of the options. Parts that are
-// too long, and more than the kept number, are ignored.
+// HandleReport takes over the evidence of a peer, as of a time on the clock of the options. More than the kept number is
+// ignored.
 func (t *Tracker) HandleReport(peer string, report *Report, at time.Time) {
 	if t == nil || report == nil {
 		return
@@ -87,50 +120,106 @@
 	now := t.options.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for part, age := range report.AnswerAges {
-		if len(part) <= maxPartBytes && age >= 0 {
-			t.answered.record(part, at.Add(-milliseconds(age)))
-		}
+	for data := report.Answers; len(data) >= answerBytes; data = data[answerBytes:] {
+		id, age := part(binary.LittleEndian.Uint64(data)), binary.LittleEndian.Uint32(data[partBytes:])
+		t.recordAnswer(id, at.Add(-time.Duration(age)*time.Millisecond), false)
 	}
-	for _, b := range report.Blocked {
+	t.changed = t.changed || len(report.Answers) > 0
+	for _, b := range report.Blocked[:min(len(report.Blocked), maxBlocked)] {
 		t.adopt(peer, b, now, at)
 	}
-	for _, c := range report.Crashes[:min(len(report.Crashes), maxCrashes)] {
-		suspects := slices.DeleteFunc(slices.Clone(c.Suspects), func(parts []string) bool { return !validParts(parts) })
-		if c.AgeMS >= 0 && milliseconds(c.AgeMS) <= maxCrashRelayAge && len(c.Incarnation) <= maxPartBytes && len(suspects) > 0 {
-			t.addCrash(c.Incarnation, at.Add(-milliseconds(c.AgeMS)), suspects)
+	for _, s := range report.Suspects[:min(len(report.Suspects), maxCrashes*maxSuspects)] {
+		age, parts := milliseconds(s.AgeMS), unpackParts(s.Parts)
+		if s.AgeMS < 0 || age > maxCrashRelayAge || len(s.Incarnation) > maxIncarnationBytes || len(parts) == 0 {
+			continue
+		}
+		t.addCrash(s.Incarnation, at.Add(-age), s.ID, parts, peer)
+		for _, id := range parts {
+			if own := t.answered.own(id); own.After(at.Add(-age)) {
+				t.cleared[id] = own
+			}
 		}
 	}
+	t.noteKnown(peer, report.Have)
 	t.update(now)
 }
 
-// adopt blocks a part that a peer has blocked.
+// noteKnown notes what a peer has.
+func (t *Tracker) noteKnown(peer string, have []byte) {
+	known := map[uint64]bool{}
+	for ; len(have) >= partBytes; have = have[partBytes:] {
+		known[binary.LittleEndian.Uint64(have)] = true
+	}
+	note := func(id uint64, knownBy map[string]bool) {
+		if known[id] && len(knownBy) < maxKnownBy {
+			knownBy[peer] = true
+		}
+	}
+	for id, b := range t.blocks {
+		note(id, b.knownBy)
+	}
+	for _, c := range t.crashes {
+		for id, s := range c.requests {
+			note(id, s.knownBy)
+		}
+	}
+}
+
+// adopt blocks what a peer has blocked.
 func (t *Tracker) adopt(peer string, report BlockReport, now, at time.Time) {
 	lastCrash := at.Add(-milliseconds(report.LastCrashAgeMS))
-	if report.LastCrashAgeMS < 0 || report.AgeMS < 0 || len(report.Part) > maxPartBytes || now.Sub(lastCrash) > maxBlockRelayAge || t.answered.last(report.Part).After(lastCrash) {
+	if report.LastCrashAgeMS < 0 || report.AgeMS < 0 || now.Sub(lastCrash) > maxBlockRelayAge {
 		return
 	}
-	known := t.blocked[report.Part]
-	switch {
-	case known != nil:
+	if known := t.blocks[report.ID]; known != nil {
 		if lastCrash.Sub(known.lastCrash) > relayTolerance {
 			known.lastCrash = lastCrash
 		}
-	case len(t.blocked) < maxBlocked:
-		t.blocked[report.Part] = &block{since: at.Add(-milliseconds(report.AgeMS)), lastCrash: lastCrash}
-		t.options.Logger.Error().Str("prompt_part", report.Part).Str("peer", peer).Int64("last_crash_age_ms", report.LastCrashAgeMS).
-			Dur("for_ms", lastCrash.Add(blockTTL).Sub(now)).Str("outcome", "blocked").Msg("prompt part that crashes engines")
+		return
+	}
+	parts := slices.DeleteFunc(unpackParts(report.Parts), func(id part) bool { return t.answered.last(id).After(lastCrash) })
+	if len(parts) == 0 || len(t.blocks) >= maxBlocked || t.blockParts+len(parts) > maxBlockParts || t.evidence+len(parts) > maxEvidence {
+		return
 	}
+	b := t.addBlock(report.ID, parts, at.Add(-milliseconds(report.AgeMS)), lastCrash)
+	t.logBlock(b, now).Str("peer", peer).Msg(blockMessage)
 }
 
-// BlockedParts returns the number of blocked parts.
-func (t *Tracker) BlockedParts() int {
-	if t == nil {
-		return 0
+const blockMessage = "prompt part that crashes engines"
+
+// logBlock begins the line of a new block.
+func (t *Tracker) logBlock(b *block, now time.Time) *zerolog.Event {
+	return t.options.Logger.Error().Str("prompt_part", b.parts[len(b.parts)-1].String()).Int("parts", len(b.parts)).Str("block", formatID(b.id)).Dur("last_crash_age_ms", now.Sub(b.lastCrash)).
+		Dur("for_ms", b.lastCrash.Add(blockTTL).Sub(now)).Str("outcome", "blocked")
+}
+
+func packParts(parts []part) []byte {
+	data := make([]byte, 0, partBytes*len(parts))
+	for _, id := range parts {
+		data = binary.LittleEndian.AppendUint64(data, uint64(id))
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.blocked)
+	return data
+}
+
+// unpackParts returns at most maxPromptParts parts.
+func unpackParts(data []byte) []part {
+	parts := make([]part, 0, min(len(data)/partBytes, maxPromptParts))
+	for ; len(data) >= partBytes && len(parts) < maxPromptParts; data = data[partBytes:] {
+		parts = append(parts, part(binary.LittleEndian.Uint64(data)))
+	}
+	return parts
+}
+
+// partsID hashes parts in any order.
+func partsID(parts []part) uint64 {
+	sorted := slices.Clone(parts)
+	slices.Sort(sorted)
+	return xxhash.Sum64(packParts(sorted))
+}
+
+// requestID identifies a request at an engine incarnation.
+func requestID(incarnation string, parts []part) uint64 {
+	return xxhash.Sum64(append(packParts(parts), incarnation...))
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -26,8 +26,11 @@
 
 func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
 
-func isBlocked(t *Tracker, parts ...string) bool {
-	_, _, blocked := t.Blocked(parts)
+// prompt returns a prompt with the given part ids.
+func prompt(ids ...string) Prompt { return NewPrompt(ids) }
+
+func isBlocked(t *Tracker, ids ...string) bool {
+	_, _, blocked := t.Blocked(prompt(ids...))
 	return blocked
 }
 
@@ -38,21 +41,21 @@
 	tracker := k.tracker()
 	for i := range crashesToBlock {
 		c.Assert(isBlocked(tracker, "system", "deadly", "own"), qt.IsFalse)
-		tracker.RecordAnswer([]string{"system", "thing", "own"}, 0)
+		tracker.RecordAnswer(prompt("system", "thing", "own"), 0)
 		// A sound request whose answer had not begun is cut by the same crash.
 		engine := fmt.Sprint("engine-", i)
-		tracker.RecordCrash(engine, []string{"system", "thing", "own"})
-		tracker.RecordCrash(engine, []string{"system", "deadly", fmt.Sprint("own-", i)})
+		tracker.RecordCrash(engine, prompt("system", "thing", "own"))
+		tracker.RecordCrash(engine, prompt("system", "deadly", fmt.Sprint("own-", i)))
 		k.advance(time.Second)
-		tracker.RecordAnswer([]string{"system", "thing", "own"}, 0)
+		tracker.RecordAnswer(prompt("system", "thing", "own"), 0)
 	}
-	part, left, blocked := tracker.Blocked([]string{"system", "deadly", "other"})
+	position, left, blocked := tracker.Blocked(prompt("system", "deadly", "other"))
 	c.Assert(blocked, qt.IsTrue)
-	c.Assert(part, qt.Equals, "deadly")
+	c.Assert(position, qt.Equals, 1)
 	c.Assert(left > blockTTL-time.Minute && left <= blockTTL, qt.IsTrue)
 	c.Assert(isBlocked(tracker, "system", "thing", "own"), qt.IsFalse)
 	c.Assert(isBlocked(tracker, "deadly"), qt.IsFalse, qt.Commentf("the last part is specific to its request"))
-	c.Assert(tracker.BlockedParts(), qt.Equals, 1)
+	c.Assert(tracker.Blocks(), qt.Equals, 1)
 }
 
 // Guards against blocking the parts that sound requests share, when so many engines crash that nothing is answered any
@@ -60,10 +63,10 @@
 func TestSharedPartStaysOpenWhileNothingIsAnswered(t *testing.T) {
 	c, k := qt.New(t), newClock()
 	tracker := k.tracker()
-	tracker.RecordAnswer([]string{"system", "own"}, 0)
+	tracker.RecordAnswer(prompt("system", "own"), 0)
 	k.advance(time.Second)
 	for i := range 20 {
-		tracker.RecordCrash(fmt.Sprint("engine-", i), []string{"system", "deadly", "own"})
+		tracker.RecordCrash(fmt.Sprint("engine-", i), prompt("system", "deadly", "own"))
 		k.advance(200 * time.Millisecond)
 		c.Assert(isBlocked(tracker, "system", "own"), qt.IsFalse)
 	}
@@ -77,9 +80,9 @@
 	for wave := range 5 {
 		for i := range testEngines {
 			engine := fmt.Sprint("engine-", wave, "-", i)
-			tracker.RecordCrash(engine, []string{"system", fmt.Sprint("other-", i), "own"})
+			tracker.RecordCrash(engine, prompt("system", fmt.Sprint("other-", i), "own"))
 			if i == wave {
-				tracker.RecordCrash(engine, []string{"system", "rare", "own"})
+				tracker.RecordCrash(engine, prompt("system", "rare", "own"))
 			}
 			k.advance(time.Millisecond)
 		}
@@ -93,26 +96,26 @@
 	c, k := qt.New(t), newClock()
 	tracker := k.tracker()
 	for i := range 5 {
-		tracker.RecordAnswer([]string{"system", "own"}, 0)
-		tracker.RecordCrash(fmt.Sprint("engine-", i), []string{"system", "deadly", "own"})
+		tracker.RecordAnswer(prompt("system", "own"), 0)
+		tracker.RecordCrash(fmt.Sprint("engine-", i), prompt("system", "deadly", "own"))
 		if i%2 == 0 {
-			tracker.RecordCrash(fmt.Sprint("other-", i), []string{"system", fmt.Sprint("thing-", i), "own"})
+			tracker.RecordCrash(fmt.Sprint("other-", i), prompt("system", fmt.Sprint("thing-", i), "own"))
 		}
 		k.advance(time.Second)
 	}
 	c.Assert(isBlocked(tracker, "system", "deadly", "own"), qt.IsTrue)
-	c.Assert(tracker.BlockedParts(), qt.Equals, 1)
+	c.Assert(tracker.Blocks(), qt.Equals, 1)
 }
 
 func TestSeveralDeadlyPartsAreTold(t *testing.T) {
 	c, k := qt.New(t), newClock()
 	tracker := k.tracker()
 	for i := range 2 * crashesToBlock {
-		tracker.RecordAnswer([]string{"system", "own"}, 0)
-		tracker.RecordCrash(fmt.Sprint("engine-", i), []string{"system", fmt.Sprint("deadly-", i%2), "own"})
+		tracker.RecordAnswer(prompt("system", "own"), 0)
+		tracker.RecordCrash(fmt.Sprint("engine-", i), prompt("system", fmt.Sprint("deadly-", i%2), "own"))
 		k.advance(time.Second)
 	}
-	tracker.RecordAnswer([]string{"system", "own"}, 0)
+	tracker.RecordAnswer(prompt("system", "own"), 0)
 	c.Assert(isBlocked(tracker, "system", "deadly-0", "own"), qt.IsTrue)
 	c.Assert(isBlocked(tracker, "system", "deadly-1", "own"), qt.IsTrue)
 	c.Assert(isBlocked(tracker, "system", "own"), qt.IsFalse)
@@ -126,13 +129,13 @@
 		entries = append(entries, k.tracker())
 	}
 	for i, e := range entries[:crashesToBlock] {
-		e.RecordCrash(fmt.Sprint("engine-", i), []string{"system", "deadly", "own"})
-		e.RecordAnswer([]string{"system", "own"}, 0)
+		e.RecordCrash(fmt.Sprint("engine-", i), prompt("system", "deadly", "own"))
+		e.RecordAnswer(prompt("system", "own"), 0)
 		k.advance(time.Second)
 	}
 	exchange := func() {
 		for i, e := range entries[1:] {
-			e.HandleReport("peer", encoded(c, entries[i].Report()), k.now)
+			e.HandleReport(fmt.Sprint(i), encoded(c, entries[i].Report(fmt.Sprint(i+1))), k.now)
 		}
 	}
 	exchange()
@@ -156,12 +159,12 @@
 	c, k := qt.New(t), newClock()
 	a, b := k.tracker(), k.tracker()
 	for i := range crashesToBlock {
-		a.RecordCrash(fmt.Sprint("engine-", i), []string{"deadly", "own"})
+		a.RecordCrash(fmt.Sprint("engine-", i), prompt("deadly", "own"))
 		k.advance(time.Second)
 	}
 	c.Assert(isBlocked(a, "deadly", "own"), qt.IsTrue)
 	for range int((blockTTL + time.Minute) / time.Second) {
-		reportA, reportB := encoded(c, a.Report()), encoded(c, b.Report())
+		reportA, reportB := encoded(c, a.Report("b")), encoded(c, b.Report("a"))
 		k.advance(time.Second)
 		a.HandleReport("b", reportB, k.now)
 		b.HandleReport("a", reportA, k.now)
@@ -176,15 +179,15 @@
 	c, k := qt.New(t), newClock()
 	a, b := k.tracker(), k.tracker()
 	for i := range crashesToBlock {
-		a.RecordCrash(fmt.Sprint("engine-", i), []string{"part", "own"})
+		a.RecordCrash(fmt.Sprint("engine-", i), prompt("part", "own"))
 		k.advance(time.Second)
 	}
-	b.HandleReport("a", encoded(c, a.Report()), k.now)
-	b.RecordAnswer([]string{"part", "own"}, 10*time.Second)
+	b.HandleReport("a", encoded(c, a.Report("b")), k.now)
+	b.RecordAnswer(prompt("part", "own"), 10*time.Second)
 	c.Assert(isBlocked(b, "part", "own"), qt.IsTrue)
-	b.RecordAnswer([]string{"part", "own"}, 0)
+	b.RecordAnswer(prompt("part", "own"), 0)
 	c.Assert(isBlocked(b, "part", "own"), qt.IsFalse)
-	b.HandleReport("a", encoded(c, a.Report()), k.now)
+	b.HandleReport("a", encoded(c, a.Report("b")), k.now)
 	c.Assert(isBlocked(b, "part", "own"), qt.IsFalse)
 }
 
@@ -192,17 +195,36 @@
 func TestReportsAreBounded(t *testing.T) {
 	c, k := qt.New(t), newClock()
 	tracker := k.tracker()
-	report := &Report{AnswerAges: map[string]int64{strings.Repeat("x", 1000): 1, "negative": -1}}
+	report := &Report{Answers: make([]byte, 17), Have: make([]byte, 5)}
 	for i := range 1000 {
-		report.Crashes = append(report.Crashes, CrashReport{Incarnation: fmt.Sprint(i), AgeMS: int64(i), Suspects: [][]string{{strings.Repeat("x", 1000)}, {"p"}}})
-		report.Blocked = append(report.Blocked, BlockReport{Part: fmt.Sprint("b", i)})
+		incarnation, parts := fmt.Sprint(i), packParts([]part{part(i), 7})
+		report.Suspects = append(report.Suspects,
+			SuspectReport{ID: uint64(i), Incarnation: incarnation, AgeMS: int64(i), Parts: parts},
+			SuspectReport{ID: uint64(i), Incarnation: incarnation, AgeMS: -1, Parts: parts},
+			SuspectReport{ID: uint64(2 * i), Incarnation: strings.Repeat(incarnation, 100), Parts: parts})
+		report.Blocked = append(report.Blocked, BlockReport{ID: uint64(i), Parts: parts}, BlockReport{ID: uint64(i), Parts: make([]byte, 1<<20)})
+	}
+	for range 3 {
+		tracker.HandleReport("peer", report, k.now)
 	}
-	tracker.HandleReport("peer", report, k.now)
 	c.Assert(len(tracker.crashes) <= maxCrashes, qt.IsTrue)
-	c.Assert(tracker.BlockedParts(), qt.Equals, maxBlocked)
-	c.Assert(tracker.answered.len(), qt.Equals, 0)
+	c.Assert(tracker.evidence <= maxEvidence, qt.IsTrue)
+	c.Assert(tracker.Blocks() <= maxBlocked, qt.IsTrue)
+	c.Assert(tracker.answered.len() <= 1, qt.IsTrue)
+	large := make([]string, maxPromptParts+2)
+	for i := range 100 {
+		for n := range large {
+			large[n] = fmt.Sprint(i, "-", n)
+		}
+		tracker.RecordCrash(fmt.Sprint("engine-", i), prompt(large...))
+	}
+	c.Assert(tracker.evidence <= maxEvidence, qt.IsTrue)
+	c.Assert(len(tracker.suspects) <= maxEvidence, qt.IsTrue)
+	message, err := json.Marshal(tracker.Report("other"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(message) < 16*maxPromptParts, qt.IsTrue, qt.Commentf("%d bytes", len(message)))
 	for i := range 2 * maxAnswers {
-		tracker.RecordAnswer([]string{fmt.Sprint(i), "own"}, 0)
+		tracker.RecordAnswer(prompt(fmt.Sprint(i), "own"), 0)
 	}
 	c.Assert(tracker.answered.len() <= maxAnswers, qt.IsTrue)
 }
@@ -217,14 +239,14 @@
 			k.advance(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
 			parts := append(rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, 3, rapid.ID[string]).Draw(t, "parts"), "own")
 			if rapid.Bool().Draw(t, "crash") {
-				tracker.RecordCrash(fmt.Sprint("engine-", i), parts)
+				tracker.RecordCrash(fmt.Sprint("engine-", i), prompt(parts...))
 				continue
 			}
 			before := map[string]bool{}
 			for _, part := range names {
 				before[part] = isBlocked(tracker, part, "own")
 			}
-			tracker.RecordAnswer(parts, 0)
+			tracker.RecordAnswer(prompt(parts...), 0)
 			for _, part := range parts[:len(parts)-1] {
 				if !before[part] && isBlocked(tracker, part, "own") {
 					t.Fatalf("part %s was answered and is blocked", part)
@@ -240,35 +262,61 @@
 	c, k := qt.New(t), newClock()
 	tracker := k.tracker()
 	for i := range maxAnswers - 1 {
-		tracker.RecordAnswer([]string{fmt.Sprint("early", i), "own"}, 0)
+		tracker.RecordAnswer(prompt(fmt.Sprint("early", i), "own"), 0)
 	}
-	tracker.RecordAnswer([]string{"system", "own"}, 0)
+	tracker.RecordAnswer(prompt("system", "own"), 0)
 	for i := range maxAnswers / 2 {
-		tracker.RecordAnswer([]string{fmt.Sprint("late", i), "own"}, 0)
+		tracker.RecordAnswer(prompt(fmt.Sprint("late", i), "own"), 0)
+	}
+	c.Assert(tracker.answered.last(prompt("system", "own").parts[0]).IsZero(), qt.IsFalse)
+}
+
+// conversation returns a prompt of many turns, of which the one at a position may be another.
+func conversation(turns, position int, other, own string) Prompt {
+	ids := make([]string, 0, turns+1)
+	for i := range turns {
+		ids = append(ids, fmt.Sprintf("%x", i))
+	}
+	if other != "" {
+		ids[position] = other
 	}
-	c.Assert(tracker.answered.last("system").IsZero(), qt.IsFalse)
+	return prompt(append(ids, own)...)
 }
 
-// A part must be found wherever it stands among the tracked ones, as in a conversation of many turns.
+// Guards against a deadly part that isn't found because it stands too deep in its prompt, as in a conversation of many
+// turns: 4,000 parts fill the largest head.
 func TestDeepPartIsTold(t *testing.T) {
-	c, k := qt.New(t), newClock()
-	tracker := k.tracker()
-	const turns = 40
-	prompt := func(deadly string, own int) []string {
-		parts := make([]string, 0, turns+2)
-		for i := range turns {
-			parts = append(parts, fmt.Sprint("turn-", i))
+	const turns = 4000
+	for _, position := range []int{0, 40, 64, 300, turns / 2, turns - 1} {
+		c, k := qt.New(t), newClock()
+		tracker := k.tracker()
+		for i := range crashesToBlock {
+			own := fmt.Sprint("own-", i)
+			tracker.RecordAnswer(conversation(turns, position, "", own), 0)
+			tracker.RecordCrash(fmt.Sprint("engine-", i), conversation(turns, position, "deadly", own))
+			k.advance(time.Second)
+			tracker.RecordAnswer(conversation(turns, position, "", own), 0)
 		}
-		return append(parts, deadly, fmt.Sprint("own-", own))
+		at, _, blocked := tracker.Blocked(conversation(turns, position, "deadly", "another"))
+		c.Assert(blocked, qt.IsTrue, qt.Commentf("position %d", position))
+		c.Assert(at, qt.Equals, position)
+		_, _, blocked = tracker.Blocked(conversation(turns, position, "", "another"))
+		c.Assert(blocked, qt.IsFalse)
 	}
+}
+
+// A part is tracked whatever the length of its id.
+func TestPartWithALongIDIsTold(t *testing.T) {
+	c, k := qt.New(t), newClock()
+	tracker := k.tracker()
+	deadly := strings.Repeat("badc0de5", 20)
 	for i := range crashesToBlock {
-		tracker.RecordAnswer(prompt("sound", i), 0)
-		tracker.RecordCrash(fmt.Sprint("engine-", i), prompt("deadly", i))
+		tracker.RecordAnswer(prompt("system", "own"), 0)
+		tracker.RecordCrash(fmt.Sprint("engine-", i), prompt("system", deadly, "own"))
 		k.advance(time.Second)
-		tracker.RecordAnswer(prompt("sound", i), 0)
 	}
-	c.Assert(isBlocked(tracker, prompt("deadly", 99)...), qt.IsTrue)
-	c.Assert(isBlocked(tracker, prompt("sound", 99)...), qt.IsFalse)
+	c.Assert(isBlocked(tracker, "system", deadly, "own"), qt.IsTrue)
+	c.Assert(isBlocked(tracker, "system", "own"), qt.IsFalse)
 }
 
 // A part must be found by one batch of requests that crash engines at once, while the others still answer; not the parts
@@ -278,14 +326,93 @@
 	tracker := k.tracker()
 	for i := range 5 {
 		engine := fmt.Sprint("engine-", i)
-		tracker.RecordCrash(engine, []string{"system", "deadly", fmt.Sprint("own-", i)})
-		tracker.RecordCrash(engine, []string{"system", fmt.Sprint("thing-", i), "own"})
+		tracker.RecordCrash(engine, prompt("system", "deadly", fmt.Sprint("own-", i)))
+		tracker.RecordCrash(engine, prompt("system", fmt.Sprint("thing-", i), "own"))
 		k.advance(5 * time.Millisecond)
 	}
 	k.advance(settleTime)
 	c.Assert(isBlocked(tracker, "system", "deadly", "own"), qt.IsFalse, qt.Commentf("nothing has been answered"))
-	tracker.RecordAnswer([]string{"system", "other", "own"}, 0)
+	tracker.RecordAnswer(prompt("system", "other", "own"), 0)
 	c.Assert(isBlocked(tracker, "system", "deadly", "own"), qt.IsTrue)
 	c.Assert(isBlocked(tracker, "system", "thing-1", "own"), qt.IsFalse)
-	c.Assert(tracker.BlockedParts(), qt.Equals, 1)
+	c.Assert(tracker.Blocks(), qt.Equals, 1)
+}
+
+// Guards against three entries that see a crash each and find nothing, although the part stands in prompts of the largest
+// size.
+func TestDeepPartSeenByThreeEntriesIsTold(t *testing.T) {
+	c, k := qt.New(t), newClock()
+	const turns, position = 4000, 1900
+	entries := map[string]*Tracker{"a": k.tracker(), "b": k.tracker(), "c": k.tracker(), "d": k.tracker()}
+	exchange := func() {
+		for from, sender := range entries {
+			for to, receiver := range entries {
+				if from != to {
+					receiver.HandleReport(from, encoded(c, sender.Report(to)), k.now)
+				}
+			}
+		}
+	}
+	for i, name := range []string{"a", "b", "c"} {
+		engine := fmt.Sprint("engine-", i)
+		for n := range 4 {
+			entries[name].RecordAnswer(conversation(turns, position, "", fmt.Sprint("own-", n)), 0)
+			entries[name].RecordCrash(engine, conversation(turns, position, "", fmt.Sprint("own-", n)))
+		}
+		entries[name].RecordCrash(engine, conversation(turns, position, "deadly", "own"))
+		k.advance(50 * time.Millisecond)
+		exchange()
+		k.advance(time.Second)
+	}
+	for range 5 {
+		exchange()
+		k.advance(150 * time.Millisecond)
+	}
+	for name, e := range entries {
+		_, _, blocked := e.Blocked(conversation(turns, position, "deadly", "another"))
+		c.Check(blocked, qt.IsTrue, qt.Commentf("entry %s", name))
+		entries["a"].RecordAnswer(conversation(turns, position, "", "own"), 0)
+		exchange()
+		_, _, blocked = e.Blocked(conversation(turns, position, "", "another"))
+		c.Check(blocked, qt.IsFalse, qt.Commentf("entry %s", name))
+	}
+}
+
+// Measures what a prompt of the largest head costs beside evidence of such prompts.
+func BenchmarkLargestPrompt(b *testing.B) {
+	k := newClock()
+	tracker := k.tracker()
+	for i := range 8 {
+		tracker.RecordCrash(fmt.Sprint("engine-", i), conversation(4000, 2000, fmt.Sprint("other-", i), "own"))
+	}
+	ids := make([]string, 4001)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%x", i)
+	}
+	for b.Loop() {
+		k.advance(time.Millisecond)
+		p := NewPrompt(ids)
+		tracker.Blocked(p)
+		tracker.RecordAnswer(p, 0)
+	}
+}
+
+// Measures one evaluation of as much evidence as is kept.
+func BenchmarkEvaluation(b *testing.B) {
+	k := newClock()
+	tracker := k.tracker()
+	for i := range 40 {
+		ids := make([]string, 4001)
+		for n := range ids {
+			ids[n] = fmt.Sprintf("%x-%x", n%2*i, n)
+		}
+		tracker.RecordCrash(fmt.Sprint("engine-", i), prompt(ids...))
+	}
+	b.ReportMetric(float64(tracker.evidence), "parts")
+	for b.Loop() {
+		k.advance(time.Second)
+		k.now = k.now.Add(-time.Second + time.Microsecond)
+		tracker.evaluatedAt, tracker.changed = time.Time{}, true
+		tracker.update(k.now)
+	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -275,7 +275,7 @@
 func (r *Roster) call(ctx context.Context, m *member) {
 	sentAt, sentSteady := time.Now(), steady.Now()
 	address := r.addressOf(m)
-	reply, err := r.exchange(ctx, address)
+	reply, err := r.exchange(ctx, m.id, address)
 	r.mu.Lock()
 	m.calling = false
 	changed := m.failed != (err != nil)
@@ -312,10 +312,10 @@
 	return m.address
 }
 
-func (r *Roster) exchange(ctx context.Context, address string) (*message, error) {
+func (r *Roster) exchange(ctx context.Context, peer, address string) (*message, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	body, err := json.Marshal(r.newMessage())
+	body, err := json.Marshal(r.newMessage(peer))
 	if err != nil {
 		return nil, errors.Wrap(err, "encoding roster message")
 	}
@@ -352,13 +352,13 @@
 
 func (e *StatusError) Error() string { return "entry returned status " + http.StatusText(e.Status) }
 
-// newMessage returns the message that this entry sends to others.
-func (r *Roster) newMessage() message {
+// newMessage returns the message that this entry sends to another one.
+func (r *Roster) newMessage(peer string) message {
 	now := time.Now()
 	configuration := r.options.Configuration()
 	msg := message{
 		ID: r.options.ID, Address: r.options.Address, BootID: r.options.BootID,
-		Version: configuration.Version, VerifiedAgeMS: -1, Poison: r.options.Poison.Report(), Backpressure: r.options.Backpressure.Report(),
+		Version: configuration.Version, VerifiedAgeMS: -1, Poison: r.options.Poison.Report(peer), Backpressure: r.options.Backpressure.Report(),
 		Reports: []entryReport{{
 			ID: r.options.ID, Address: r.options.Address, BootID: r.options.BootID,
 			UptimeMS: now.Sub(r.startedAt).Milliseconds(), Accounts: r.options.Pool.Report(now),
@@ -446,7 +446,7 @@
 	r.options.Poison.HandleReport(msg.ID, msg.Poison, steady.Now())
 	r.options.Backpressure.HandleReport(msg.Backpressure, steady.Now())
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(r.newMessage()); err != nil {
+	if err := json.NewEncoder(w).Encode(r.newMessage(msg.ID)); err != nil {
 		r.options.Logger.Debug().Str("peer", msg.ID).Err(err).Msg("sending the exchange response failed")
 	}
 }
