Poison: a part is told by batches of any size, beside other crashes

Cause: engines that crash together counted as one crash, or as a lost data centre, unless all of them crashed under one part, they were a quarter of all, and another engine had answered since.

Change: three or more engines that crash together under a part count as a batch. Parts that were never seen apart are blocked together, so that a sound one beside the deadly one goes free. Suspects of a crash that a block explains don't bring it back. While nothing but the part is seen, nothing is blocked.

Tests: TestPartOfBatchesOfAnySizeIsTold (eight of nine sizes failed on, signatures adapted), TestPartsSeenTogetherAreBlockedTogether and TestOtherCausesBlockNothing ("nothing is answered") failed there too. TestBlockEndsAlthoughEntriesTellEachOther and TestAnswerAfterTheCrashesReleasesAPart now begin with an answer to another prompt: without any, a part that all requests share would be blocked when engines crash for another reason. What they assert is unchanged.

--- a/internal/poison/answers.go
+++ b/internal/poison/answers.go
@@ -52,20 +52,43 @@
 
 func (a answerTimes) len() int { return a.times.Len() }
 
-// recentAnswers is the number of answers whose times are kept.
-const recentAnswers = 32
+const (
+	// rateSeconds is the period over which a process counts its answers.
+	rateSeconds = 60
+	// recentAnswers is the number of answers whose times are kept.
+	recentAnswers = 32
+)
 
 // answerCounter counts the answers that this process has observed, of any prompt.
 type answerCounter struct {
+	seconds [rateSeconds]struct {
+		second int64
+		count  int
+	}
 	recent [recentAnswers]time.Time
 	next   int
 }
 
 func (a *answerCounter) record(at time.Time) {
+	s := &a.seconds[at.Unix()%rateSeconds]
+	if s.second != at.Unix() {
+		s.second, s.count = at.Unix(), 0
+	}
+	s.count++
 	a.recent[a.next%recentAnswers] = at
 	a.next++
 }
 
+// inPeriod returns the number of answers in the period that ends now.
+func (a *answerCounter) inPeriod(now time.Time) (n int) {
+	for _, s := range a.seconds {
+		if now.Unix()-s.second < rateSeconds {
+			n += s.count
+		}
+	}
+	return n
+}
+
 // after returns the number of answers after a time, at most recentAnswers.
 func (a *answerCounter) after(t time.Time) (n int) {
 	for _, at := range a.recent {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -17,11 +17,12 @@
 	// blockTTL is how long a block stays after its last crash. The evidence then starts anew.
 	blockTTL = 5 * time.Minute
 	// maxCrashes, maxSuspects and maxBlocked bound what is kept: crashes without a known cause, requests
-	// of one crash, and blocks. maxEvidence bounds the
+	// of one crash, and blocks. maxExplained bounds the incarnations whose crash a block explains. maxEvidence bounds the
 	// parts of all these requests and blocks, maxBlockParts those of the blocks.
 	maxCrashes    = 256
 	maxSuspects   = 32
 	maxBlocked    = 64
+	maxExplained  = 1 << 10
 	maxEvidence   = 1 << 17
 	maxBlockParts = maxEvidence / 2
 	// maxAnswers bounds the parts whose last answer is remembered. Of a prompt these are the suspects, and the first and
@@ -53,6 +54,8 @@
 	mu sync.Mutex
 	// crashes holds the crashes that no block explains, by engine incarnation.
 	crashes map[string]*crash
+	// explained holds when the engine incarnations crashed whose crash a block explains.
+	explained map[string]time.Time
 	// suspects counts the requests of the crashes with a part.
 	suspects map[part]int
 	// evidence is the number of parts of all requests of the crashes and of all blocks, blockParts that of the blocks.
@@ -99,7 +102,7 @@
 // New returns a Tracker without evidence.
 func New(options Options) *Tracker {
 	return &Tracker{
-		options: options, crashes: map[string]*crash{}, suspects: map[part]int{}, answered: newAnswerTimes(), cleared: map[part]time.Time{},
+		options: options, crashes: map[string]*crash{}, explained: map[string]time.Time{}, suspects: map[part]int{}, answered: newAnswerTimes(), cleared: map[part]time.Time{},
 		blocks: map[uint64]*block{}, byPart: map[part][]*block{},
 	}
 }
@@ -175,6 +178,9 @@
 
 // addCrash adds a request to the suspects of a crash. The caller holds t.mu.
 func (t *Tracker) addCrash(incarnation string, at time.Time, id uint64, parts []part, peer string) {
+	if _, explained := t.explained[incarnation]; explained {
+		return
+	}
 	c := t.crashes[incarnation]
 	if isNew := c == nil || c.requests[id] == nil; isNew {
 		t.makeRoom(incarnation, len(parts))
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -158,6 +160,7 @@
 func TestBlockEndsAlthoughEntriesTellEachOther(t *testing.T) {
 	c, k := qt.New(t), newClock()
 	a, b := k.tracker(), k.tracker()
+	a.RecordAnswer(prompt("sound", "own"), 0)
 	for i := range crashesToBlock {
 		a.RecordCrash(fmt.Sprint("engine-", i), prompt("deadly", "own"))
 		k.advance(time.Second)
@@ -178,6 +181,7 @@
 func TestAnswerAfterTheCrashesReleasesAPart(t *testing.T) {
 	c, k := qt.New(t), newClock()
 	a, b := k.tracker(), k.tracker()
+	a.RecordAnswer(prompt("sound", "own"), 0)
 	for i := range crashesToBlock {
 		a.RecordCrash(fmt.Sprint("engine-", i), prompt("part", "own"))
 		k.advance(time.Second)
@@ -338,6 +342,62 @@
 	c.Assert(tracker.Blocks(), qt.Equals, 1)
 }
 
+// Guards against batches whose part isn't found because they crash few of many engines or all of them, or because
+// another deadly part or another crash comes with them. After the second batch requests with the part must be kept from
+// the engines, and sound requests with the parts beside it must not.
+func TestPartOfBatchesOfAnySizeIsTold(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		engines, size    int
+		others, unrelate int
+		allLost          bool
+	}{
+		{name: "three of many", engines: 180, size: 3},
+		{name: "eight of many", engines: 180, size: 8},
+		{name: "fifty of many", engines: 180, size: 50},
+		{name: "all, and nothing is answered until they are back", engines: 9, size: 9, allLost: true},
+		{name: "all of many", engines: 180, size: 180, allLost: true},
+		{name: "beside another deadly part", engines: 20, size: 4, others: 4},
+		{name: "beside another deadly part with fewer requests", engines: 20, size: 6, others: 3},
+		{name: "beside a crash for another reason", engines: 20, size: 5, unrelate: 1},
+		{name: "beside another part and another crash", engines: 40, size: 6, others: 3, unrelate: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, k := qt.New(t), newClock()
+			tracker := New(Options{Now: func() time.Time { return k.now }, Engines: func() int { return test.engines }, Logger: zerolog.Nop()})
+			for i := range 2 * answersBeforeBatch {
+				tracker.RecordAnswer(prompt("system", fmt.Sprint("thing-", i%20), "own"), 0)
+				k.advance(20 * time.Millisecond)
+			}
+			for batch := range 2 {
+				for i := range test.size + test.others + test.unrelate {
+					engine := fmt.Sprint("engine-", batch, "-", i)
+					switch {
+					case i < test.size:
+						tracker.RecordCrash(engine, prompt("system", "deadly", fmt.Sprint("thing-", i%20), "own"))
+					case i < test.size+test.others:
+						tracker.RecordCrash(engine, prompt("system", "second", fmt.Sprint("thing-", i%20), "own"))
+					}
+					tracker.RecordCrash(engine, prompt("system", fmt.Sprint("thing-", (i+batch)%20), "own"))
+				}
+				k.advance(settleTime)
+				if test.allLost {
+					c.Check(isBlocked(tracker, "system", "deadly", "own"), qt.IsTrue, qt.Commentf("batch %d", batch))
+				}
+				for i := range 20 {
+					if !test.allLost {
+						tracker.RecordAnswer(prompt("system", fmt.Sprint("thing-", i), "own"), 0)
+					}
+					c.Check(isBlocked(tracker, "system", fmt.Sprint("thing-", i), "own"), qt.IsFalse)
+				}
+				k.advance(2 * time.Second)
+			}
+			c.Check(isBlocked(tracker, "system", "deadly", "own"), qt.IsTrue)
+			c.Check(isBlocked(tracker, "system", "second", "own"), qt.Equals, test.others > 0)
+		})
+	}
+}
+
 // Guards against three entries that see a crash each and find nothing, although the part stands in prompts of the largest
 // size.
 func TestDeepPartSeenByThreeEntriesIsTold(t *testing.T) {
@@ -378,6 +438,70 @@
 	}
 }
 
+// A part that is only seen beside the deadly one can't be told from it: requests with both are blocked, and those with the
+// other part alone run. A crash without it shows which part it is.
+func TestPartsSeenTogetherAreBlockedTogether(t *testing.T) {
+	c, k := qt.New(t), newClock()
+	tracker := k.tracker()
+	for i := range crashesToBlock {
+		tracker.RecordAnswer(prompt("system", "own"), 0)
+		tracker.RecordCrash(fmt.Sprint("engine-", i), prompt("system", "deadly", "companion", "own"))
+		k.advance(time.Second)
+		tracker.RecordAnswer(prompt("system", "own"), 0)
+	}
+	c.Assert(isBlocked(tracker, "system", "deadly", "companion", "own"), qt.IsTrue)
+	c.Assert(isBlocked(tracker, "system", "companion", "own"), qt.IsFalse)
+	tracker.RecordCrash("engine-x", prompt("system", "deadly", "own"))
+	k.advance(time.Second)
+	tracker.RecordAnswer(prompt("system", "companion", "own"), 0)
+	c.Assert(isBlocked(tracker, "system", "deadly", "other", "own"), qt.IsTrue)
+	c.Assert(isBlocked(tracker, "system", "companion", "own"), qt.IsFalse)
+}
+
+// Guards against blocking what all requests share when engines crash again and again for another reason, such as a bad
+// version, and against blocking popular parts when a data centre is lost.
+func TestOtherCausesBlockNothing(t *testing.T) {
+	t.Run("nothing is answered", func(t *testing.T) {
+		c, k := qt.New(t), newClock()
+		tracker := k.tracker()
+		for i := range 20 {
+			tracker.RecordCrash(fmt.Sprint("engine-", i), prompt("system", fmt.Sprint("thing-", i%3), "own"))
+			k.advance(700 * time.Millisecond)
+			c.Assert(tracker.Blocks(), qt.Equals, 0)
+		}
+	})
+	for _, lost := range []int{3, 6, 60} {
+		t.Run(fmt.Sprint("data centre with engines: ", lost), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(uint64(lost), 1))
+			// Parts have unequal shares of the requests.
+			thing := func() string { return fmt.Sprint("thing-", int(math.Exp(6*random.Float64()))) }
+			blocked := 0
+			for range 30 {
+				c, k := qt.New(t), newClock()
+				tracker := New(Options{Now: func() time.Time { return k.now }, Engines: func() int { return 3 * lost }, Logger: zerolog.Nop()})
+				answer := func(n int) {
+					for range n {
+						tracker.RecordAnswer(prompt("system", thing(), "own"), 0)
+						k.advance(20 * time.Millisecond)
+					}
+				}
+				answer(500)
+				for wave := range 3 {
+					for i := range lost {
+						for range 3 {
+							tracker.RecordCrash(fmt.Sprint("engine-", wave, "-", i), prompt("system", thing(), "own"))
+						}
+					}
+					answer(100)
+					c.Assert(isBlocked(tracker, "system", "own"), qt.IsFalse)
+				}
+				blocked += tracker.Blocks()
+			}
+			qt.Assert(t, blocked, qt.Equals, 0)
+		})
+	}
+}
+
 // Measures what a prompt of the largest head costs beside evidence of such prompts.
 func BenchmarkLargestPrompt(b *testing.B) {
 	k := newClock()
--- a/internal/poison/prompt.go
+++ b/internal/poison/prompt.go
@@ -72,3 +72,18 @@
 	}
 	return true
 }
+
+// intersection returns the parts of list that are in other, in the order of list.
+func intersection(list, other []part) []part {
+	set := make(map[part]bool, len(other))
+	for _, id := range other {
+		set[id] = true
+	}
+	var both []part
+	for _, id := range list {
+		if set[id] {
+			both = append(both, id)
+		}
+	}
+	return both
+}
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -15,14 +15,22 @@
 	// minWeight is the weight of the crashes under a part from which on it is blocked. Of several engines that crash
 	// together, each has an equal part of the weight 1.
 	minWeight = 2.0
-	// batchEngines is the number of engines that crash together from which on they may have a common cause.
+	// batchEngines is the number of engines that crash together under one part from which on they may count as a batch
+	// of requests with it, and batchShare their smallest share of the engines that crash at that moment. Such a batch has
+	// half of the crashes that are needed, and all of them if nothing else crashed.
 	batchEngines = 3
+	batchShare   = 0.5
 	// commonCauseShare is the share of all engines that crash together from which on their cause may be another than a
 	// prompt.
 	commonCauseShare = 0.25
 	// settleTime is the age of the first crash from which on a part is blocked. Until then, the answers
 	// of other engines show that a part that many requests share is harmless.
 	settleTime = 500 * time.Millisecond
+	// answersBeforeBatch is the number of answers before a batch without any to its part, and answersAfterBatch that of
+	// answers after a batch without any to a part that was answered before, that tell the part from one that waited by
+	// chance at all engines that were lost together.
+	answersBeforeBatch = 100
+	answersAfterBatch  = 20
 )
 
 // update removes what is too old, answered or explained, and blocks the parts for which the evidence suffices. The
@@ -38,12 +46,12 @@
 	t.changed, t.evaluatedAt = false, now
 	t.prune()
 	for {
-		t.dropExplained()
+		t.dropExplained(now)
 		best, found := t.findCause(now)
 		if !found || len(t.blocks) >= maxBlocked {
 			break
 		}
-		parts := []part{best.part}
+		parts := t.inseparable(best)
 		if t.blockParts+len(parts) > maxBlockParts {
 			break
 		}
@@ -63,6 +71,11 @@
 			t.dropBlock(b)
 		}
 	}
+	for incarnation, at := range t.explained {
+		if now.Sub(at) > crashTTL {
+			delete(t.explained, incarnation)
+		}
+	}
 	for id, at := range t.cleared {
 		if now.Sub(at) > crashTTL || len(t.crashes) == 0 && len(t.blocks) == 0 {
 			delete(t.cleared, id)
@@ -94,9 +107,12 @@
 
 // dropExplained removes the crashes under blocked parts: they are no evidence against the other parts of
 // the same requests, nor against the other requests of the same engine.
-func (t *Tracker) dropExplained() {
+func (t *Tracker) dropExplained(now time.Time) {
 	for incarnation, c := range t.crashes {
-		if t.explain(c) {
+		if t.explain(c) || now.Sub(c.at) >= settleTime && t.narrow(c, now) {
+			if len(t.explained) < maxExplained {
+				t.explained[incarnation] = c.at
+			}
 			t.dropCrash(incarnation)
 		}
 	}
@@ -118,6 +134,23 @@
 	return explained
 }
 
+// narrow reports whether a request of a crash contains some of the parts of a block, which it blocks then: the others
+// aren't needed for a crash.
+func (t *Tracker) narrow(c *crash, now time.Time) (narrowed bool) {
+	for _, s := range c.requests {
+		for _, b := range t.blocksOf(s.parts) {
+			both := intersection(b.parts, s.parts)
+			id := partsID(both)
+			if t.blocks[id] != nil || len(t.blocks) >= maxBlocked || t.blockParts+len(both) > maxBlockParts {
+				continue
+			}
+			narrowed = true
+			t.logBlock(t.addBlock(id, both, now, c.at), now).Str("reason", "crash under a part of block "+formatID(b.id)).Msg(blockMessage)
+		}
+	}
+	return narrowed
+}
+
 // blocksOf returns the blocks with any of some parts.
 func (t *Tracker) blocksOf(parts []part) []*block {
 	if len(t.blocks) == 0 {
@@ -141,7 +174,7 @@
 	depth int
 	// engines counts the crashes, crashes the separate ones: each engine of a batch counts as one.
 	engines     int
-	crashes     int
+	crashes     float64
 	weight      float64
 	first, last time.Time
 }
@@ -153,8 +186,8 @@
 	if len(t.crashes) < crashesToBlock {
 		return candidate{}, false
 	}
-	for _, c := range t.candidates() {
-		if c.crashes < crashesToBlock || c.weight < minWeight || now.Sub(c.first) < settleTime {
+	for _, c := range t.candidates(now) {
+		if c.crashes < crashesToBlock || c.weight < minWeight || now.Sub(c.first) < settleTime || !t.isDistinguished(c.part, now) {
 			continue
 		}
 		if !found || t.compare(c, &best) < 0 {
@@ -169,8 +202,30 @@
 	return cmp.Or(t.answered.last(a.part).Compare(t.answered.last(b.part)), cmp.Compare(b.engines, a.engines), cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
 }
 
+// inseparable returns the parts that may as well be the cause as a candidate, and itself: those that were never answered
+// either, and are in each request of a crash with it.
+func (t *Tracker) inseparable(best candidate) []part {
+	if !t.answered.last(best.part).IsZero() {
+		return []part{best.part}
+	}
+	var parts []part
+	for _, c := range t.crashes {
+		for _, s := range c.requests {
+			if !slices.Contains(s.parts, best.part) {
+				continue
+			}
+			if parts == nil {
+				parts = slices.DeleteFunc(slices.Clone(s.parts), func(id part) bool { return !t.answered.last(id).IsZero() })
+				continue
+			}
+			parts = intersection(parts, s.parts)
+		}
+	}
+	return parts
+}
+
 // candidates returns the parts under which enough engines have crashed since their last answers.
-func (t *Tracker) candidates() map[part]*candidate {
+func (t *Tracker) candidates(now time.Time) map[part]*candidate {
 	frequent := t.frequentParts()
 	found := make(map[part]*candidate, len(frequent))
 	if len(frequent) == 0 {
@@ -186,15 +241,22 @@
 			}
 			c.engines += p.engines
 			c.depth, c.last = max(c.depth, p.depth), p.last
-			if !commonCause {
-				c.crashes++
-				c.weight += float64(p.engines) / float64(len(together))
-				continue
-			}
-			// The part of a batch of requests, if other engines have answered since.
-			if p.engines == len(together) && t.counter.after(together[len(together)-1].at) > 0 {
+			share := float64(p.engines) / float64(len(together))
+			switch {
+			case p.engines < batchEngines || !t.hasContrast(id, g, now):
+				if !commonCause {
+					c.crashes++
+					c.weight += share
+				}
+			case g.explainedBy(id, t):
 				c.crashes += crashesToBlock
 				c.weight += minWeight
+			case share >= batchShare:
+				c.crashes += crashesToBlock / 2.0
+				c.weight += minWeight / 2
+			case !commonCause:
+				c.crashes++
+				c.weight += share
 			}
 		}
 	}
@@ -270,6 +332,50 @@
 	return len(together) >= batchEngines && float64(len(together)) >= commonCauseShare*float64(engines)
 }
 
+// explainedBy reports whether a part explains the whole group: all engines crashed under it or, if it was never
+// answered, under it or under others of which that holds too.
+func (g *group) explainedBy(id part, t *Tracker) bool {
+	if g.parts[id].engines == len(g.crashes) {
+		return true
+	}
+	if !t.answered.last(id).IsZero() {
+		return false
+	}
+	explained := make([]bool, len(g.crashes))
+	n := 0
+	for other, p := range g.parts {
+		if p.engines < batchEngines-1 || !t.answered.last(other).IsZero() {
+			continue
+		}
+		for i, crashed := range p.crashed {
+			if crashed && !explained[i] {
+				explained[i] = true
+				n++
+			}
+		}
+	}
+	return n == len(g.crashes)
+}
+
+// isDistinguished reports whether requests without a part were answered since its last answer. A part of all requests
+// isn't distinguished from any other cause of the crashes.
+func (t *Tracker) isDistinguished(id part, now time.Time) bool {
+	if last := t.answered.last(id); !last.IsZero() {
+		return t.counter.after(last) > 0
+	}
+	return t.counter.inPeriod(now) > 0
+}
+
+// hasContrast reports whether answers without a part show that it isn't common to all requests, so that it isn't by
+// chance that many engines crashed together under it.
+func (t *Tracker) hasContrast(id part, g *group, now time.Time) bool {
+	after := t.counter.after(g.crashes[len(g.crashes)-1].at)
+	if !t.answered.last(id).IsZero() {
+		return after >= answersAfterBatch
+	}
+	return after > 0 || t.counter.inPeriod(now) >= answersBeforeBatch
+}
+
 // crashGroups returns the crashes in groups of those that are not separate, the earliest first.
 func (t *Tracker) crashGroups() [][]*crash {
 	sorted := slices.SortedFunc(maps.Values(t.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
