Poison: entries of the own interface exchange what they know of prompts

Seen by callers: on the project's own interface each entry counted the crashes under a prompt that it had seen itself, so that three entries took nine crashes to block one.

Change: peers on a link of the aggregation tree, all of them entries, exchange the same evidence as the entries of the users' platform, as protobuf (PromptEvidence). The command builds the tracker; an entry without one keeps one of its own.

Test: TestCrashesUnderAPromptAreExchanged (nine processes, three of which see one crash each) fails without the merge: none of the nine blocks the prompt.

--- a/cmd/lagoonlane/entry.go
+++ b/cmd/lagoonlane/entry.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/lagoonlane/lagoonlane/internal/claim"
 	"github.com/lagoonlane/lagoonlane/internal/command"
 	"github.com/lagoonlane/lagoonlane/internal/entry"
 	"github.com/lagoonlane/lagoonlane/internal/move"
 	"github.com/lagoonlane/lagoonlane/internal/platform"
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/query"
 	"github.com/lagoonlane/lagoonlane/internal/settings"
 )
@@ -30,7 +32,8 @@
 		return err
 	}
 	signals.attach(p.logger, func() error { return checkEntry(path) })
-	shared := newSharedState(p, file.Platform)
+	prompts := poison.New(poison.Options{Now: time.Now, Logger: p.logger})
+	shared := newSharedState(p, file.Platform, prompts)
 	defer shared.close()
 	claims := claim.New(claim.Options{
 		Log:    shared.log,
@@ -50,6 +53,7 @@
 		Containment: shared.node,
 		Floors:      shared.node,
 		AccountUse:  shared.node,
+		Poison:      prompts,
 		Logger:      p.logger,
 		// A body may take half of what is free, so this leaves room for the largest one that a route usually allows.
 		MaxBufferedBytes: ownBufferedBytesShare * defaultMemoryBytes,
--- a/cmd/lagoonlane/shared.go
+++ b/cmd/lagoonlane/shared.go
@@ -10,6 +10,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/membership"
 	"github.com/lagoonlane/lagoonlane/internal/peer"
 	"github.com/lagoonlane/lagoonlane/internal/platform"
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/settings"
 	"github.com/lagoonlane/lagoonlane/internal/transport"
 )
@@ -26,7 +27,8 @@
 	peerClient *http.Client
 }
 
-func newSharedState(p *process, platformURLs settings.Platform) *sharedState {
+// newSharedState returns the shared state of a process. prompts is nil for one that sends no requests to engines.
+func newSharedState(p *process, platformURLs settings.Platform, prompts *poison.Tracker) *sharedState {
 	client := newPlatformClient()
 	s := &sharedState{
 		holder:     &config.Holder{},
@@ -54,6 +56,7 @@
 		Records:            s.stream,
 		Config:             s.holder,
 		Collector:          s.collector,
+		Poison:             prompts,
 		Logger:             p.logger,
 		Meter:              p.metrics.Meter,
 	})
--- a/cmd/lagoonlane/sidecar.go
+++ b/cmd/lagoonlane/sidecar.go
@@ -26,7 +26,7 @@
 		return err
 	}
 	signals.attach(p.logger, func() error { return checkSidecar(path) })
-	shared := newSharedState(p, file.Platform)
+	shared := newSharedState(p, file.Platform, nil)
 	defer shared.close()
 	sidecarRole, err := sidecar.New(sidecar.Options{
 		ID:             file.Process.ID,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,7 +33,6 @@
 	metrics      *metrics
 	reservations *pendingReservations
 	bodyMemory   *membudget.Budget
-	poison       *poison.Tracker
 
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -58,6 +57,9 @@
 	if options.Seed == 0 {
 		options.Seed = rand.Uint64()
 	}
+	if options.Poison == nil {
+		options.Poison = poison.New(poison.Options{Now: time.Now, Logger: options.Logger})
+	}
 	instruments, err := newMetrics(options.Meter)
 	if err != nil {
 		return nil, err
@@ -73,7 +75,6 @@
 		metrics:      instruments,
 		reservations: newPendingReservations(),
 		bodyMemory:   membudget.New(options.MaxBufferedBytes),
-		poison:       poison.New(poison.Options{Now: time.Now, Logger: options.Logger}),
 	}
 	if options.AccountUse != nil {
 		options.AccountUse.SetLocalUse(func() []*lanepb.AccountUse { return e.limits.Report(time.Now()) })
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -12,6 +12,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/config"
 	"github.com/lagoonlane/lagoonlane/internal/health"
 	"github.com/lagoonlane/lagoonlane/internal/platform"
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/configpb"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 )
@@ -76,7 +77,9 @@
 	Containment Containment
 	Floors      Floors
 	AccountUse  AccountUse
-	Logger      zerolog.Logger
+	// Poison finds prompts that crash engines. The default is a tracker of its own, which knows no other entry's evidence.
+	Poison *poison.Tracker
+	Logger zerolog.Logger
 	// Meter creates the metric instruments; nil disables them.
 	Meter metric.Meter
 	// Seed seeds the random choices; 0 means a random seed.
--- a/internal/entry/poison.go
+++ b/internal/entry/poison.go
@@ -27,7 +27,7 @@
 
 // checkPrompt returns a problem if engines crash under the beginning of the call's prompt.
 func (e *Entry) checkPrompt(c *call) *Problem {
-	position, left, blocked := e.poison.Blocked(poison.NewPrompt(c.promptParts()))
+	position, left, blocked := e.options.Poison.Blocked(poison.NewPrompt(c.promptParts()))
 	if !blocked {
 		return nil
 	}
@@ -41,10 +41,10 @@
 	switch {
 	case !c.forEngine():
 	case err == nil && r.chunks > 0:
-		e.poison.RecordAnswer(poison.NewPrompt(c.promptParts()), time.Since(r.firstChunkTime))
+		e.options.Poison.RecordAnswer(poison.NewPrompt(c.promptParts()), time.Since(r.firstChunkTime))
 	case errors.As(err, &fault) && fault.Outcome != lanepb.Outcome_OUTCOME_NOT_RUN && fault.Reason == lanepb.RefusalReason_REFUSAL_REASON_UNSPECIFIED &&
 		r.chunks == 0 && ctx.Err() == nil:
 		incarnation := s.target.BackendServer + "@" + strconv.FormatInt(time.Now().Truncate(crashInterval).Unix(), 10)
-		e.poison.RecordCrash(incarnation, poison.NewPrompt(c.promptParts()))
+		e.options.Poison.RecordCrash(incarnation, poison.NewPrompt(c.promptParts()))
 	}
 }
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -13,6 +14,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, n.options.Timeout)
 	defer cancel()
 	withAggregates := nb.isParent.Load()
+	sentAt := time.Now()
 	request := n.newRequest(nb.address, withAggregates)
 	response, err := nb.client.Exchange(callCtx, request)
 	n.metrics.recordExchange(ctx, proto.Size(request), err == nil)
@@ -25,6 +27,7 @@
 	n.mergeFloors(response.GetFloors())
 	if withAggregates && response.GetSums() {
 		n.mergeAggregates(nb.address, response.GetAccountUse(), response.GetEvidence())
+		n.mergePrompts(nb.address, response.GetPrompts(), sentAt)
 	}
 }
 
@@ -40,6 +43,7 @@
 	}
 	if withAggregates {
 		request.AccountUse, request.Evidence = n.outgoingAggregates(to)
+		request.Prompts = n.outgoingPrompts(to)
 	}
 	return request
 }
@@ -60,6 +64,8 @@
 	if request.GetSums() {
 		n.mergeAggregates(from, request.GetAccountUse(), request.GetEvidence())
 		response.AccountUse, response.Evidence = n.outgoingAggregates(from)
+		n.mergePrompts(from, request.GetPrompts(), time.Now())
+		response.Prompts = n.outgoingPrompts(from)
 	}
 	return response, nil
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -19,6 +19,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/config"
 	"github.com/lagoonlane/lagoonlane/internal/health"
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 	"github.com/lagoonlane/lagoonlane/internal/transport"
 )
@@ -52,8 +53,10 @@
 	// Collector receives evidence from peers and supplies that of this process. If it is
 	// nil, this process shares no evidence.
 	Collector *health.Collector
-	Logger    zerolog.Logger
-	Meter     metric.Meter
+	// Poison holds the evidence about prompts that crash engines. If it is nil, this process exchanges none.
+	Poison *poison.Tracker
+	Logger zerolog.Logger
+	Meter  metric.Meter
 	// Period is the mean time between two exchanges with the parent in the aggregation tree.
 	// Exchanges with other neighbours happen every second period. Default: 1 s.
 	Period time.Duration
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -13,9 +13,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
 	"github.com/lagoonlane/lagoonlane/internal/config"
 	"github.com/lagoonlane/lagoonlane/internal/health"
+	"github.com/lagoonlane/lagoonlane/internal/poison"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/configpb"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 )
@@ -79,6 +81,7 @@
 	nodes      []*Node
 	holders    []*config.Holder
 	collectors []*health.Collector
+	trackers   []*poison.Tracker
 }
 
 func startGroup(ctx context.Context, size int, isMember func(int) bool, state *configpb.State, workers *sync.WaitGroup) *group {
@@ -97,13 +100,14 @@
 		holder := &config.Holder{}
 		holder.Set(state)
 		collector := health.NewCollector(health.CollectorOptions{})
+		tracker := poison.New(poison.Options{Now: time.Now, Logger: zerolog.Nop()})
 		node := New(Options{
 			ID: fmt.Sprintf("p-%d", i), Address: address, BootID: "b",
 			Client:             &http.Client{Transport: networkTransport{g.network, address}},
 			PeerURL:            func(a string) string { return "http://" + a },
 			Peers:              func() []string { return append(addresses[:i:i], addresses[i+1:]...) },
 			AggregationMembers: func() []string { return members },
-			Records:            noRecords{}, Config: holder, Collector: collector,
+			Records:            noRecords{}, Config: holder, Collector: collector, Poison: tracker,
 		})
 		mux := http.NewServeMux()
 		node.Register(mux)
@@ -111,6 +115,7 @@
 		g.nodes = append(g.nodes, node)
 		g.holders = append(g.holders, holder)
 		g.collectors = append(g.collectors, collector)
+		g.trackers = append(g.trackers, tracker)
 	}
 	for _, node := range g.nodes {
 		workers.Go(func() { _ = node.Run(ctx) })
@@ -264,3 +269,24 @@
 		}
 	})
 }
+
+// Guards against prompts that crash engine after engine because each entry of the project's own interface counts the
+// crashes that it sees itself.
+func TestCrashesUnderAPromptAreExchanged(t *testing.T) {
+	withGroup(t, 9, movingState(), func(c *qt.C, g *group) {
+		deadly, sound := poison.NewPrompt([]string{"a1", "dead", "own"}), poison.NewPrompt([]string{"a1", "b2", "own"})
+		for i, tracker := range g.trackers[:3] {
+			tracker.RecordAnswer(sound, 0)
+			tracker.RecordCrash(fmt.Sprint("engine-", i), deadly)
+			time.Sleep(time.Second)
+			g.trackers[8].RecordAnswer(sound, 0)
+		}
+		time.Sleep(8 * time.Second)
+		for i, tracker := range g.trackers {
+			_, _, blocked := tracker.Blocked(deadly)
+			c.Check(blocked, qt.IsTrue, qt.Commentf("process %d", i))
+			_, _, blocked = tracker.Blocked(sound)
+			c.Check(blocked, qt.IsFalse, qt.Commentf("process %d", i))
+		}
+	})
+}
--- a/internal/poison/exchange.go
+++ b/internal/poison/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -26,8 +25,7 @@
 	// maxKnownBy bounds the peers of which is known that they have an item. It is sent to others again and again.
 	maxKnownBy = 1 << 10
 
-	partBytes   = 8
-	answerBytes = partBytes + 4
+	partBytes = 8
 )
 
 // Report is the evidence that a process sends to a peer: what the peer isn't known to have. Ages are in milliseconds at
@@ -36,9 +34,15 @@
 	// Have holds the ids of all requests and blocks that the sender has, eight bytes each.
 	Have     []byte          `json:"have,omitempty"`
 	Suspects []SuspectReport `json:"suspects,omitempty"`
-	// Answers holds the sender's own answers to parts that are or were suspected: the part, and the age in four bytes.
-	Answers []byte        `json:"answers,omitempty"`
-	Blocked []BlockReport `json:"blocked,omitempty"`
+	// Answers holds the sender's own answers to parts that are or were suspected.
+	Answers []AnswerReport `json:"answers,omitempty"`
+	Blocked []BlockReport  `json:"blocked,omitempty"`
+}
+
+// AnswerReport is the last answer of a process to a request with a part.
+type AnswerReport struct {
+	Part  uint64 `json:"part"`
+	AgeMS int64  `json:"age_ms"`
 }
 
 // SuspectReport describes a request whose answer was about to begin when its engine crashed.
@@ -101,12 +105,11 @@
 		}
 	}
 	for id, at := range t.cleared {
-		if len(r.Answers) >= maxReportAnswers*answerBytes {
+		if len(r.Answers) >= maxReportAnswers {
 			// The order of a map differs each time, so that all are sent in the end.
 			break
 		}
-		r.Answers = binary.LittleEndian.AppendUint64(r.Answers, uint64(id))
-		r.Answers = binary.LittleEndian.AppendUint32(r.Answers, uint32(min(now.Sub(at).Milliseconds(), math.MaxUint32)))
+		r.Answers = append(r.Answers, AnswerReport{Part: uint64(id), AgeMS: now.Sub(at).Milliseconds()})
 	}
 	return r
 }
@@ -120,9 +123,10 @@
 	now := t.options.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for data := report.Answers; len(data) >= answerBytes; data = data[answerBytes:] {
-		id, age := part(binary.LittleEndian.Uint64(data)), binary.LittleEndian.Uint32(data[partBytes:])
-		t.recordAnswer(id, at.Add(-time.Duration(age)*time.Millisecond), false)
+	for _, a := range report.Answers[:min(len(report.Answers), maxReportAnswers)] {
+		if a.AgeMS >= 0 {
+			t.recordAnswer(part(a.Part), at.Add(-milliseconds(a.AgeMS)), false)
+		}
 	}
 	t.changed = t.changed || len(report.Answers) > 0
 	for _, b := range report.Blocked[:min(len(report.Blocked), maxBlocked)] {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -199,7 +199,7 @@
 func TestReportsAreBounded(t *testing.T) {
 	c, k := qt.New(t), newClock()
 	tracker := k.tracker()
-	report := &Report{Answers: make([]byte, 17), Have: make([]byte, 5)}
+	report := &Report{Answers: []AnswerReport{{Part: 1}, {Part: 2, AgeMS: -1}}, Have: make([]byte, 5)}
 	for i := range 1000 {
 		incarnation, parts := fmt.Sprint(i), packParts([]part{part(i), 7})
 		report.Suspects = append(report.Suspects,
