Shutdown: what comes after the signal is answered whole or refused

Seen by callers: in a planned stop, in calm, streams and requests to slow plain services that had come after the signal were cut at the end of the grace time, or got a 502.

Cause: the caller's hint of the output's length counted for 3 s after the signal, and a plain service was taken to need half a second.

One of a plain service that may not be repeated is taken only if its deadline is before the end.

In TestStoppingEntryTakesOnlyWhatSurelyEnds one expectation is reversed: a long stream that is short by its hint, which was taken in the first 3 s and may be cut, is refused now; eight cases are new.

--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
+	"github.com/lagoonlane/lagoonlane/internal/worktime"
 )
 
 // All entries together must stay within the deployment's retry bound in any window, even if
@@ -45,8 +46,8 @@
 func TestStopIsIndependentOfTheTimeOfDay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		g := &Gateway{}
-		call := &call{deadline: steady.Now().Add(time.Minute)}
+		g := &Gateway{work: worktime.New()}
+		call := &call{route: &fleet.Route{Kind: fleet.KindSafe}, deadline: steady.Now().Add(time.Minute)}
 		g.BeginShutdown(10 * time.Second)
 		time.Sleep(time.Hour)
 		c.Assert(g.checkShutdown(call, 0) == nil, qt.IsTrue)
@@ -70,8 +71,8 @@
 // During a shutdown, an entry accepts calls that can end in time and refuses the rest.
 func TestStoppingEntryRefusesLongCalls(t *testing.T) {
 	c := qt.New(t)
-	g := &Gateway{}
-	call := &call{deadline: steady.Now().Add(time.Minute)}
+	g := &Gateway{work: worktime.New()}
+	call := &call{route: &fleet.Route{Kind: fleet.KindSafe}, deadline: steady.Now().Add(time.Minute)}
 	c.Assert(g.checkShutdown(call, typicalSlotWait) == nil, qt.IsTrue)
 	g.BeginShutdown(10 * time.Second)
 	c.Assert(g.checkShutdown(call, typicalSlotWait) == nil, qt.IsTrue)
@@ -81,39 +82,57 @@
 	c.Assert(refused.RetryAfter > 0, qt.IsTrue)
 }
 
-// Late in a shutdown, an entry accepted long answers because the caller's hint said that they
-// were short, and cut them at the end of the grace time.
+// During a shutdown, an entry accepted long answers because the caller's hint said that they were short, and requests to
+// slow plain services, as these usually take half a second at most. All were cut at the end of the grace time: streams
+// without their end, the others with a 502, also requests that may not be repeated.
 func TestStoppingEntryTakesOnlyWhatSurelyEnds(t *testing.T) {
 	const grace = 10 * time.Second
 	engine := &fleet.Engine{}
 	long := func(hint int) RequestInfo {
 		return RequestInfo{HasTokens: true, MaxOutputTokens: 2000, OutputHint: hint}
 	}
+	short := RequestInfo{HasTokens: true, MaxOutputTokens: 200}
+	slow := []worktime.Work{{Start: 200 * time.Millisecond, Rest: 5 * time.Second, Tokens: 400}, {Start: 100 * time.Millisecond, Rest: time.Second, Tokens: 400}}
 	for name, test := range map[string]struct {
 		engine *fleet.Engine
+		kind   fleet.RouteKind
 		info   RequestInfo
+		// known is what earlier requests of the route took.
+		known []worktime.Work
 		// since is the time since the start of the shutdown, deadline the time from now to the
 		// call's deadline.
 		since, deadline time.Duration
 		taken           bool
 	}{
-		"largest output fits":             {engine, RequestInfo{HasTokens: true, MaxOutputTokens: 200}, 5 * time.Second, time.Minute, true},
-		"largest output doesn't fit":      {engine, long(0), 5 * time.Second, time.Minute, false},
-		"short by a hint, may be cut":     {engine, long(50), time.Second, time.Minute, true},
-		"short by a hint, late":           {engine, long(50), cutAllowedWindow + time.Millisecond, time.Minute, false},
-		"long by a hint":                  {engine, long(1800), time.Second, time.Minute, false},
-		"deadline before the end":         {engine, long(0), 8 * time.Second, time.Second, true},
-		"deadline after the end":          {engine, long(0), 8 * time.Second, 3 * time.Second, false},
-		"unknown output, late":            {engine, RequestInfo{}, 5 * time.Second, time.Minute, false},
-		"plain service":                   {nil, RequestInfo{}, 5 * time.Second, time.Minute, true},
-		"plain service, close to the end": {nil, RequestInfo{}, 9500 * time.Millisecond, time.Minute, false},
+		"largest output fits":              {engine, fleet.KindStreaming, short, nil, 5 * time.Second, time.Minute, true},
+		"largest output doesn't fit":       {engine, fleet.KindStreaming, long(0), nil, 5 * time.Second, time.Minute, false},
+		"short by a hint, early":           {engine, fleet.KindStreaming, long(50), nil, time.Second, time.Minute, false},
+		"short by a hint, late":            {engine, fleet.KindStreaming, long(50), nil, 4 * time.Second, time.Minute, false},
+		"long by a hint":                   {engine, fleet.KindStreaming, long(1800), nil, time.Second, time.Minute, false},
+		"engines are slow lately":          {engine, fleet.KindStreaming, short, slow, 5 * time.Second, time.Minute, false},
+		"engines are slow lately, early":   {engine, fleet.KindStreaming, short, slow, time.Second, time.Minute, true},
+		"deadline before the end":          {engine, fleet.KindStreaming, long(0), slow, 8 * time.Second, time.Second, true},
+		"deadline after the end":           {engine, fleet.KindStreaming, long(0), nil, 8 * time.Second, 3 * time.Second, false},
+		"unknown output, early":            {engine, fleet.KindStreaming, RequestInfo{}, nil, time.Second, time.Minute, false},
+		"unknown output, late":             {engine, fleet.KindStreaming, RequestInfo{}, nil, 5 * time.Second, time.Minute, false},
+		"plain service":                    {nil, fleet.KindSafe, RequestInfo{}, nil, 5 * time.Second, time.Minute, true},
+		"plain service, close to the end":  {nil, fleet.KindSafe, RequestInfo{}, nil, 9500 * time.Millisecond, time.Minute, false},
+		"plain service, slow lately":       {nil, fleet.KindSafe, RequestInfo{}, []worktime.Work{{Start: 3 * time.Second}}, 5 * time.Second, time.Minute, false},
+		"unsafe, deadline after the end":   {nil, fleet.KindUnsafe, RequestInfo{}, nil, 5 * time.Second, 6 * time.Second, false},
+		"unsafe, deadline before the end":  {nil, fleet.KindUnsafe, RequestInfo{}, nil, 5 * time.Second, 4 * time.Second, true},
+		"resumable stream, doesn't fit":    {engine, fleet.KindStreaming, long(50), nil, 2 * time.Second, time.Minute, false},
+		"plain stream, deadline after end": {nil, fleet.KindStreaming, RequestInfo{}, nil, 5 * time.Second, 6 * time.Second, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			g := &Gateway{}
+			g := &Gateway{work: worktime.New()}
+			for _, work := range test.known {
+				g.work.Observe("route", work)
+			}
 			now := steady.Now()
-			g.shutdown.Store(&shutdown{startedAt: now.Add(-test.since), endsAt: now.Add(grace - test.since)})
-			call := &call{engine: test.engine, info: test.info, deadline: now.Add(test.deadline)}
+			g.shutdown.Store(&shutdown{endsAt: now.Add(grace - test.since)})
+			route := &fleet.Route{Name: "route", Kind: test.kind, Resumable: name == "resumable stream, doesn't fit"}
+			call := &call{engine: test.engine, route: route, info: test.info, deadline: now.Add(test.deadline)}
 			c.Assert(g.checkShutdown(call, typicalSlotWait) == nil, qt.Equals, test.taken)
 		})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 	"github.com/lagoonlane/lagoonlane/internal/telemetry"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
+	"github.com/lagoonlane/lagoonlane/internal/worktime"
 )
 
 // Bounds are limits that the deployment sets.
@@ -83,6 +84,7 @@
 	retryBudget   *retryBudget
 	memory        *membudget.Budget
 	patience      *patience.Estimator
+	work          *worktime.Estimator
 	// shutdown is the shutdown in progress, or nil.
 	shutdown  atomic.Pointer[shutdown]
 	bodyReads bodyReads
@@ -101,6 +103,7 @@
 		retryBudget:   newRetryBudget(options.Bounds.Retries),
 		memory:        membudget.New(options.MaxBufferedBytes),
 		patience:      patience.New(),
+		work:          worktime.New(),
 	}
 	var err error
 	g.metrics, err = newMetrics(options.Meter, g.schedulingDelay, g.memory.Used, options.Requests, options.Poison.Blocks)
@@ -304,6 +307,7 @@
 			g.servers.prune(g.options.Directory.IDs(), now)
 			g.options.Backpressure.Prune(g.registered)
 			g.patience.Retain(g.hasRoute)
+			g.work.Retain(g.hasRoute)
 		}
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -39,6 +39,7 @@
 	if tokens, err := strconv.Atoi(h.Get("Tokens")); err == nil {
 		info.MaxOutputTokens, info.HasTokens = tokens, true
 	}
+	info.OutputHint, _ = strconv.Atoi(h.Get("Hint"))
 	for id := range strings.FieldsSeq(h.Get("Parts")) {
 		info.Parts = append(info.Parts, gateway.PromptPart{ID: id, Tokens: 100})
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -226,6 +226,9 @@
 	if call.engine != nil && call.route.PrefixAffinity && result.firstEvent > 0 {
 		g.servers.memory.RecordRead(placed.server.Incarnation(), call.promptParts(), time.Now())
 	}
+	if outcome.Sent {
+		g.observeWork(call, result, time.Since(sent))
+	}
 	placed.release(outcome)
 	p.rolloutSend.End(rollout.SendResult{
 		Unsent: result.verdict == verdictUnsent, Rejected: result.verdict == verdictRejected || result.verdict == verdictReplaced,
