Own interface: requests that outlast a drain are answered at its end

Seen by callers: what still ran at the end of an entry's drain lost its connection without an answer, also requests that had only waited for a slot.

Change: half a second before the end of the drain they are ended: 503 not-run, or 502 with the outcome of what may have run.

Test: TestDrainAnswersWhatOutlastsIt fails before (no answer until the request's own deadline, 10 s, while the drain ends after 3).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,9 @@
 	draining atomic.Bool
 	// running counts the requests in progress and the detached sidecar calls that outlive them.
 	running sync.WaitGroup
+	// ended is canceled when the time of a drain is nearly over, to answer the requests that still run.
+	ended context.Context
+	end   context.CancelCauseFunc
 	// drainMu makes checking draining and incrementing running atomic with respect to Drain.
 	drainMu sync.RWMutex
 }
@@ -76,6 +79,7 @@
 		reservations: newPendingReservations(),
 		bodyMemory:   membudget.New(options.MaxBufferedBytes),
 	}
+	e.ended, e.end = context.WithCancelCause(context.Background())
 	if options.AccountUse != nil {
 		options.AccountUse.SetLocalUse(func() []*lanepb.AccountUse { return e.limits.Report(time.Now()) })
 	}
@@ -117,8 +121,16 @@
 // Ready reports whether the entry has read an instance list and is not draining.
 func (e *Entry) Ready() bool { return e.ready.Load() && !e.draining.Load() }
 
-// Drain rejects new requests and waits until the running ones have completed. It returns the
-// error of ctx if ctx ends first.
+// StoppedError is the reason for ending requests that outlast the time of a drain.
+type StoppedError struct{}
+
+func (*StoppedError) Error() string { return "this entry has stopped" }
+
+// finalAnswerTime is the part of the time of a drain that is left for the answers to requests that are ended.
+const finalAnswerTime = 500 * time.Millisecond
+
+// Drain rejects new requests and waits until the running ones have completed. If ctx has a deadline, those that still
+// run shortly before it are ended with an answer. It returns the error of ctx if ctx ends first.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.drainMu.Lock()
 	e.draining.Store(true)
@@ -128,6 +140,10 @@
 		e.running.Wait()
 		close(done)
 	}()
+	if deadline, ok := ctx.Deadline(); ok {
+		timer := time.AfterFunc(time.Until(deadline)-finalAnswerTime, func() { e.end(&StoppedError{}) })
+		defer timer.Stop()
+	}
 	select {
 	case <-done:
 		return nil
@@ -180,6 +196,9 @@
 func (e *Entry) answer(w http.ResponseWriter, r *http.Request, c *call) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(e.ended, func() { end(context.Cause(e.ended)) })()
 	w.Header().Set(headerRequestID, c.id)
 	if problem := e.admit(c); problem != nil {
 		e.metrics.recordFinished(c, nil, problem)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -256,6 +256,42 @@
 	})
 }
 
+// Guards against requests that are still running at the end of a planned stop and whose connections are closed without
+// an answer. One that waits for a slot has not run; one that was sent may have.
+func TestDrainAnswersWhatOutlastsIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		waiting bool
+		status  int
+		outcome Outcome
+	}{"waits for a slot": {true, http.StatusServiceUnavailable, OutcomeNotRun}, "runs": {false, http.StatusBadGateway, OutcomeUnknown}} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				lane := newFakeLane("l1", answerFrames(200, "application/json", `{}`)...)
+				lane.frameInterval = 20 * time.Second
+				if test.waiting {
+					lane.blockReserve = make(chan struct{})
+					defer close(lane.blockReserve)
+				}
+				cell := newTestCell(t, nil, lane)
+				time.AfterFunc(time.Second, func() {
+					ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+					defer cancel()
+					_ = cell.entry.Drain(ctx)
+				})
+				begun := time.Now()
+				response, body, err := cell.do(t, cell.request(t, "POST", "/services/ledger/loans", `{"pegs":40}`))
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, time.Since(begun) < 4*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
+				problem := decodeProblem(t, response, body)
+				qt.Assert(t, response.StatusCode, qt.Equals, test.status)
+				qt.Assert(t, problem.Outcome, qt.Equals, test.outcome)
+				// The sidecar's answer ends.
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // If a sidecar terminates permanently after the dispatch, the request may have run: its outcome is
 // unknown and it is not retried at another sidecar.
 func TestAnswerOfTerminatedSidecarIsLost(t *testing.T) {
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -59,9 +59,16 @@
 	return problem
 }
 
-// deadlineProblem returns the problem of a call whose context ended, by its deadline or by the
-// caller.
+// deadlineProblem returns the problem of a call whose context ended, by its deadline, by the
+// caller or with this process.
 func deadlineProblem(ctx context.Context, outcome Outcome) *Problem {
+	var stopped *StoppedError
+	if errors.As(context.Cause(ctx), &stopped) {
+		if outcome == OutcomeNotRun {
+			return notRunProblem(KindDraining, http.StatusServiceUnavailable, stopped.Error()).withRetryAfter(drainRetryAfter)
+		}
+		return &Problem{Kind: KindAnswerLost, Status: http.StatusBadGateway, Outcome: outcome, Detail: stopped.Error()}
+	}
 	detail := "the deadline has passed"
 	if errors.Is(ctx.Err(), context.Canceled) {
 		detail = "the caller has left"
