Own interface: a report of an engine is read up to 1 MiB

Seen: the sidecar of our own interface read an engine's load report, and its answers to orders, up to 64 MiB, the bound for pages of the log. The decoder holds them whole, so one faulty engine took most of the memory of the machine that asked each second, and two ended it with all requests there.

Change: what an engine says of itself is bounded by 1 MiB, as on the users' platform.

--- a/internal/platform/answer.go
+++ b/internal/platform/answer.go
@@ -17,6 +17,8 @@
 const (
 	maxDetailBytes = 512
 	maxAnswerBytes = 64 << 20
+	// maxReportBytes applies to what an engine says of itself. Many engines may be faulty at once.
+	maxReportBytes = 1 << 20
 )
 
 // maxRetryAfter bounds the time without requests that a backend server can ask for.
@@ -50,8 +52,8 @@
 }
 
 // decodeJSON decodes a JSON response body. It returns *ProtocolError.
-func decodeJSON(service string, resp *http.Response, into any) error {
-	err := json.NewDecoder(bounded.NewReader(resp.Body, maxAnswerBytes)).Decode(into)
+func decodeJSON(service string, resp *http.Response, limit int64, into any) error {
+	err := json.NewDecoder(bounded.NewReader(resp.Body, limit)).Decode(into)
 	if err != nil {
 		return errors.WithStack(&ProtocolError{Service: service, Status: resp.StatusCode, Detail: err.Error()})
 	}
@@ -60,20 +62,20 @@
 
 // getJSON sends a request to a platform service and decodes the JSON response. It returns
 // *UnavailableError, *NotFoundError (if kind is not empty) or *ProtocolError.
-func getJSON(client *http.Client, service string, req *http.Request, kind, name string, into any) error {
+func getJSON(client *http.Client, service string, req *http.Request, kind, name string, limit int64, into any) error {
 	resp, err := client.Do(req)
 	if err != nil {
 		return errors.WithStack(&UnavailableError{Service: service, Cause: err})
 	}
 	defer resp.Body.Close()
-	return decodeResult(service, resp, kind, name, into)
+	return decodeResult(service, resp, kind, name, limit, into)
 }
 
 // decodeResult decodes the response of a query. It returns the errors of getJSON.
-func decodeResult(service string, resp *http.Response, kind, name string, into any) error {
+func decodeResult(service string, resp *http.Response, kind, name string, limit int64, into any) error {
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		return decodeJSON(service, resp, into)
+		return decodeJSON(service, resp, limit, into)
 	case resp.StatusCode == http.StatusNotFound && kind != "":
 		return errors.WithStack(&NotFoundError{Kind: kind, Name: name})
 	case resp.StatusCode >= http.StatusInternalServerError:
--- a/internal/platform/endless_test.go
+++ b/internal/platform/endless_test.go
@@ -31,3 +31,30 @@
 		})
 	}
 }
+
+// Guards against an engine whose report on itself has no end and fills the memory of the process that asks: a report was
+// read up to 64 MiB, which the decoder holds at once.
+func TestEndlessReportOfAnEngineIsNone(t *testing.T) {
+	calls := map[string]func(ctx context.Context, engine *HTTPEngine) error{
+		"load":   func(ctx context.Context, engine *HTTPEngine) error { _, err := engine.Load(ctx); return err },
+		"order":  func(ctx context.Context, engine *HTTPEngine) error { _, err := engine.Order(ctx, Order{}); return err },
+		"cancel": func(ctx context.Context, engine *HTTPEngine) error { return engine.Cancel(ctx, "id") },
+		"resume": func(ctx context.Context, engine *HTTPEngine) error { _, err := engine.Resume(ctx, "id", 1); return err },
+	}
+	for part, answer := range boundedtest.EndlessResponses() {
+		for name, call := range calls {
+			t.Run(name+", "+part, func(t *testing.T) {
+				c := qt.New(t)
+				server := &boundedtest.PipeServer{Begin: answer[0], Repeat: answer[1]}
+				client := &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: bounded.MaxHeaderBytes, DialContext: server.Dial}}
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				err := call(ctx, NewHTTPEngine("http://engine", client))
+				c.Assert(err != nil || name == "cancel", qt.IsTrue)
+				c.Assert(ctx.Err(), qt.IsNil)
+				// The server writes blocks of 64 KiB.
+				c.Assert(server.Sent.Load() <= maxReportBytes+2*bounded.MaxHeaderBytes, qt.IsTrue, qt.Commentf("%d bytes", server.Sent.Load()))
+			})
+		}
+	}
+}
--- a/internal/platform/httpengine.go
+++ b/internal/platform/httpengine.go
@@ -78,7 +78,7 @@
 		return EngineLoad{}, err
 	}
 	var load EngineLoad
-	err = getJSON(e.client, engineService, req, "", "", &load)
+	err = getJSON(e.client, engineService, req, "", "", maxReportBytes, &load)
 	return load, err
 }
 
@@ -111,11 +111,11 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 		var status OrderStatus
-		err := decodeJSON(engineService, resp, &status)
+		err := decodeJSON(engineService, resp, maxReportBytes, &status)
 		return status, err
 	case http.StatusConflict:
 		var fenced fencedAnswer
-		if err := decodeJSON(engineService, resp, &fenced); err != nil {
+		if err := decodeJSON(engineService, resp, maxReportBytes, &fenced); err != nil {
 			return OrderStatus{}, err
 		}
 		return OrderStatus{}, errors.WithStack(&FencedError{Given: fenced.Given, Highest: fenced.Highest})
--- a/internal/platform/httpinstances.go
+++ b/internal/platform/httpinstances.go
@@ -48,7 +48,7 @@
 		return cached, nil
 	}
 	var list []Instance
-	if err := decodeResult(instancesService, resp, "", "", &list); err != nil {
+	if err := decodeResult(instancesService, resp, "", "", maxAnswerBytes, &list); err != nil {
 		return nil, err
 	}
 	i.cache(resp.Header.Get("ETag"), list)
--- a/internal/platform/httplog.go
+++ b/internal/platform/httplog.go
@@ -59,7 +59,7 @@
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		var answer appendAnswer
-		if err := decodeJSON(logService, resp, &answer); err != nil {
+		if err := decodeJSON(logService, resp, maxAnswerBytes, &answer); err != nil {
 			return 0, errors.WithStack(&AppendUnknownError{Stream: stream, Cause: err})
 		}
 		if answer.Offset == 0 {
@@ -111,12 +111,12 @@
 	var answer readAnswer
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		if err := decodeJSON(logService, resp, &answer); err != nil {
+		if err := decodeJSON(logService, resp, maxAnswerBytes, &answer); err != nil {
 			return ReadResult{}, err
 		}
 		return convertRecords(from, answer)
 	case resp.StatusCode == http.StatusGone:
-		if err := decodeJSON(logService, resp, &answer); err != nil {
+		if err := decodeJSON(logService, resp, maxAnswerBytes, &answer); err != nil {
 			return ReadResult{}, err
 		}
 		return ReadResult{}, errors.WithStack(&TruncatedError{Stream: stream, From: from, First: answer.First})
--- a/internal/platform/httpweights.go
+++ b/internal/platform/httpweights.go
@@ -40,5 +40,5 @@
 	if err != nil {
 		return err
 	}
-	return getJSON(w.client, weightsService, req, kind, name, into)
+	return getJSON(w.client, weightsService, req, kind, name, maxAnswerBytes, into)
 }
