Answers that stop never look whole to callers in HTTP/1.0

Seen: an answer that can't be completed was ended by closing its connection.

Change: callerconn.Abort resets such a connection, on both interfaces. The connection guard's wrapper can be unwrapped. A sidecar of our own interface takes a stream's end marker for its end only with the blank line after it.

In HTTP/1.1 nothing was found.

--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -92,6 +92,9 @@
 	requests, watched uint64
 }
 
+// NetConn returns the wrapped connection.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.exceeded != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -218,7 +218,7 @@
 	}
 	e.options.Logger.Debug().Str("request", c.id).Str("route", c.route.GetName()).Err(problem).Msg("request failed")
 	if relay.started() {
-		relay.abort(problem)
+		relay.abort(r, problem)
 	}
 	problem.write(w)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lagoonlane/lagoonlane/internal/callerconn"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 )
 
@@ -222,13 +223,12 @@
 }
 
 // abort ends an answer that can't be completed so that the caller detects it: an event stream gets
-// a final error event with the problem, and the connection is closed. It panics with
-// http.ErrAbortHandler.
-func (r *relay) abort(problem *Problem) {
+// a final error event with the problem, and the connection is closed. It doesn't return.
+func (r *relay) abort(request *http.Request, problem *Problem) {
 	if r.eventStream {
 		event := append([]byte("\n\nevent: error\ndata: "), problem.JSON()...)
 		_, _ = r.w.Write(append(event, "\n\n"...))
 		_ = r.controller.Flush()
 	}
-	panic(http.ErrAbortHandler)
+	callerconn.Abort(r.w, request)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/lagoonlane/lagoonlane/internal/backpressure"
+	"github.com/lagoonlane/lagoonlane/internal/callerconn"
 	"github.com/lagoonlane/lagoonlane/internal/fleet"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/membudget"
@@ -239,7 +240,7 @@
 	case p.started():
 		// Part of the answer has been sent. Closing the connection is the only way to signal
 		// that the answer is incomplete.
-		panic(http.ErrAbortHandler)
+		callerconn.Abort(w, r)
 	case r.Context().Err() != nil && (failure.Kind == KindCallerLeft || failure.CutBy == CutClosedIdle):
 		panic(http.ErrAbortHandler)
 	case failure.Kind == KindOverloaded, failure.Kind == KindStopped, g.shutdown.Load() != nil:
--- a/internal/sidecar/answercheck.go
+++ b/internal/sidecar/answercheck.go
@@ -78,10 +78,14 @@
 	return !c.stream || endsStream(c.tail)
 }
 
-// endsStream reports whether the last line of a stream is its end marker. The same text
-// inside a token doesn't count.
+// endsStream reports whether the last event of a stream is its end marker. The same text inside a token doesn't count,
+// and neither does a marker without the blank line that ends its event: readers drop such an event.
 func endsStream(tail []byte) bool {
-	rest, found := bytes.CutSuffix(bytes.TrimRight(tail, "\r\n"), streamEndMarker)
+	text := bytes.TrimRight(tail, "\r\n")
+	if bytes.Count(tail[len(text):], []byte("\n")) < 2 {
+		return false
+	}
+	rest, found := bytes.CutSuffix(text, streamEndMarker)
 	return found && (len(rest) == 0 || rest[len(rest)-1] == '\n')
 }
 
