Tests of a whole entry: addresses that no other process uses

TestProcessWithAStuckOutputEndsInItsGraceTime failed in 1 of 288 plays: an address that the test had chosen was in use when the entry opened it, as other processes get ports of 127.0.0.1 from the same range meanwhile.

--- a/bench/e2e/endless_test.go
+++ b/bench/e2e/endless_test.go
@@ -84,7 +84,7 @@
 
 // Guards against a machine of our own interface that runs out of memory, and ends the requests of others, because the
 // engines and services that it calls answer without end.
-func TestEndlessAnswersOnTheOwnInterface(t *testing.T) {
+func TestCrowdThatMeetsEndlessAnswers(t *testing.T) {
 	s := newSite(t)
 	var watched []string
 	for i := range s.Spec.Entries {
--- a/cmd/lagoonlane/lifecyclelog_test.go
+++ b/cmd/lagoonlane/lifecyclelog_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -44,9 +45,15 @@
 	backend      *standin.Server
 }
 
-// freeAddress returns a loopback address with a free port.
-func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// testHost returns a loopback address that no other process is likely to use, so that a free port there stays free until
+// it is opened.
+func testHost() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
+// freeAddress returns an address with a free port on a loopback host.
+func freeAddress(c *qt.C, host string) string {
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	c.Assert(err, qt.IsNil)
 	defer listener.Close()
 	return listener.Addr().String()
@@ -58,13 +65,13 @@
 
 func newTestEntryWithGrace(t *testing.T, grace time.Duration) *testEntry {
 	c := qt.New(t)
-	dir := c.TempDir()
-	e := &testEntry{c: c, front: freeAddress(c), ready: freeAddress(c), metrics: freeAddress(c), settingsPath: filepath.Join(dir, "settings.toml"), logPath: filepath.Join(dir, "log")}
+	dir, host := c.TempDir(), testHost()
+	e := &testEntry{c: c, front: freeAddress(c, host), ready: freeAddress(c, host), metrics: freeAddress(c, host), settingsPath: filepath.Join(dir, "settings.toml"), logPath: filepath.Join(dir, "log")}
 	store := standin.NewStore()
 	storeServer := httptest.NewServer(store)
 	c.Cleanup(storeServer.Close)
 	backend := &standin.Server{
-		ID: "i-1", Service: "plain", RegisteredAddress: freeAddress(c), Slots: 4, Events: 1 << 20, StartedAt: time.Now(), Ledger: noopLedger{},
+		ID: "i-1", Service: "plain", RegisteredAddress: freeAddress(c, host), Slots: 4, Events: 1 << 20, StartedAt: time.Now(), Ledger: noopLedger{},
 	}
 	backend.Address = backend.RegisteredAddress
 	e.backend = backend
@@ -83,13 +90,13 @@
 		Accounts: []standin.Account{{Name: "open", Keys: []string{"key-open"}, Unit: "token_count", DefaultTokens: 1}},
 	})
 	store.PutServer(backend, 1, false)
-	_, port, err := net.SplitHostPort(freeAddress(c))
+	_, port, err := net.SplitHostPort(freeAddress(c, host))
 	c.Assert(err, qt.IsNil)
 	var internal int
 	_, err = fmt.Sscan(port, &internal)
 	c.Assert(err, qt.IsNil)
 	machine := standin.Machine{
-		Name: "edge", IP: "127.0.0.1", Front: e.front, Ready: e.ready, Store: storeServer.Listener.Addr().String(), InternalPort: internal,
+		Name: "edge", IP: host, Front: e.front, Ready: e.ready, Store: storeServer.Listener.Addr().String(), InternalPort: internal,
 	}
 	settings := strings.Replace(machine.Settings(), "grace_s = 8\n", fmt.Sprintf("grace_s = %g\n", grace.Seconds()), 1)
 	c.Assert(os.WriteFile(e.settingsPath, []byte(settings), 0o600), qt.IsNil)
