Poison: an entry that starts again is told what the others have blocked

After a kill of entries requests with a blocked part reached engines again.

Cause: an entry noted which peers have a block and sent them its parts no more, also when a peer had lost it with its process.

Change: what a peer has is what its last message named; one without evidence has nothing.

Test: TestEntryThatStartsAgainIsTold fails before.

--- a/internal/peer/prompts.go
+++ b/internal/peer/prompts.go
@@ -29,7 +29,11 @@
 
 // mergePrompts takes over the evidence of a peer as of a time.
 func (n *Node) mergePrompts(from string, evidence *lanepb.PromptEvidence, at time.Time) {
-	if n.options.Poison == nil || evidence == nil {
+	if n.options.Poison == nil {
+		return
+	}
+	if evidence == nil {
+		n.options.Poison.HandleReport(from, nil, at)
 		return
 	}
 	report := &poison.Report{Have: packNumbers(evidence.GetHave())}
--- a/internal/poison/exchange.go
+++ b/internal/poison/exchange.go
@@ -115,14 +115,18 @@
 }
 
 // HandleReport takes over the evidence of a peer, as of a time on the clock of the options. More than the kept number is
-// ignored.
+// ignored. A peer without evidence, as after its start, has the report nil.
 func (t *Tracker) HandleReport(peer string, report *Report, at time.Time) {
-	if t == nil || report == nil {
+	if t == nil {
 		return
 	}
 	now := t.options.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if report == nil {
+		t.noteKnown(peer, nil)
+		return
+	}
 	for _, a := range report.Answers[:min(len(report.Answers), maxReportAnswers)] {
 		if a.AgeMS >= 0 {
 			t.recordAnswer(part(a.Part), at.Add(-milliseconds(a.AgeMS)), false)
@@ -137,7 +141,7 @@
 		if s.AgeMS < 0 || age > maxCrashRelayAge || len(s.Incarnation) > maxIncarnationBytes || len(parts) == 0 {
 			continue
 		}
-		t.addCrash(s.Incarnation, at.Add(-age), s.ID, parts, peer)
+		t.addCrash(s.Incarnation, at.Add(-age), s.ID, parts)
 		for _, id := range parts {
 			if own := t.answered.own(id); own.After(at.Add(-age)) {
 				t.cleared[id] = own
@@ -148,14 +152,17 @@
 	t.update(now)
 }
 
-// noteKnown notes what a peer has.
+// noteKnown notes what a peer has. A peer that has started again lacks what it had.
 func (t *Tracker) noteKnown(peer string, have []byte) {
 	known := map[uint64]bool{}
 	for ; len(have) >= partBytes; have = have[partBytes:] {
 		known[binary.LittleEndian.Uint64(have)] = true
 	}
 	note := func(id uint64, knownBy map[string]bool) {
-		if known[id] && len(knownBy) < maxKnownBy {
+		switch {
+		case !known[id]:
+			delete(knownBy, peer)
+		case len(knownBy) < maxKnownBy:
 			knownBy[peer] = true
 		}
 	}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -139,7 +139,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	parts := prompt.distinct()
-	t.addCrash(incarnation, now, requestID(incarnation, parts), parts, "")
+	t.addCrash(incarnation, now, requestID(incarnation, parts), parts)
 	t.update(now)
 }
 
@@ -177,7 +177,7 @@
 }
 
 // addCrash adds a request to the suspects of a crash. The caller holds t.mu.
-func (t *Tracker) addCrash(incarnation string, at time.Time, id uint64, parts []part, peer string) {
+func (t *Tracker) addCrash(incarnation string, at time.Time, id uint64, parts []part) {
 	if _, explained := t.explained[incarnation]; explained {
 		return
 	}
@@ -209,9 +209,6 @@
 		}
 		t.changed = true
 	}
-	if peer != "" {
-		s.knownBy[peer] = true
-	}
 }
 
 // makeRoom forgets the oldest crashes, but for one, until there is room for a request of that one. The caller holds t.mu.
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -438,6 +438,33 @@
 	}
 }
 
+// Guards against an entry that starts again and sends requests with a part that the others have blocked, because they take
+// it for one that knows.
+func TestEntryThatStartsAgainIsTold(t *testing.T) {
+	c, k := qt.New(t), newClock()
+	a, b := k.tracker(), k.tracker()
+	exchange := func() {
+		request := encoded(c, b.Report("a"))
+		a.HandleReport("b", request, k.now)
+		reply := encoded(c, a.Report("b"))
+		k.advance(100 * time.Millisecond)
+		b.HandleReport("a", reply, k.now)
+	}
+	for i := range crashesToBlock {
+		a.RecordAnswer(prompt("system", "own"), 0)
+		a.RecordCrash(fmt.Sprint("engine-", i), prompt("system", "deadly", "own"))
+		k.advance(time.Second)
+		exchange()
+	}
+	exchange()
+	c.Assert(isBlocked(b, "system", "deadly", "x"), qt.IsTrue)
+	for range 3 {
+		b = k.tracker()
+		exchange()
+		c.Assert(isBlocked(b, "system", "deadly", "x"), qt.IsTrue)
+	}
+}
+
 // A part that is only seen beside the deadly one can't be told from it: requests with both are blocked, and those with the
 // other part alone run. A crash without it shows which part it is.
 func TestPartsSeenTogetherAreBlockedTogether(t *testing.T) {
