Soak: a call that is late beside endless answers names the entry's own line

TestManyEndlessAnswersDelayNoCaller is red beside load, and couldn't tell the process that is late. It prints the entry's line of the call now, and by how much timers of its own process were late.

--- a/bench/soak/flood_test.go
+++ b/bench/soak/flood_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -50,10 +51,52 @@
 // while many backend servers send unbounded answers.
 func TestManyEndlessAnswersDelayNoCaller(t *testing.T) {
 	c := qt.New(t)
-	for _, call := range floodEntry(t.Context(), newFloodTestbed(t, 111)) {
+	b := newFloodTestbed(t, 111)
+	lateness := watchLateness()
+	calls := floodEntry(t.Context(), b)
+	mostLate := lateness()
+	for _, call := range calls {
 		took := call.Ended.Sub(call.Sent)
-		c.Check(took < call.Timeout+answerSlack, qt.IsTrue, qt.Commentf("%s (%s) took %v", call.ID, call.Kind, took))
+		c.Check(took < call.Timeout+answerSlack, qt.IsTrue, qt.Commentf("%s (%s) took %v; timers of this process were late by up to %v; the entry's line: %s",
+			call.ID, call.Kind, took, mostLate, b.requestLine(call.ID)))
+	}
+}
+
+// watchLateness watches how late timers of this process are. The returned function ends the watch and returns the most.
+func watchLateness() func() time.Duration {
+	const interval = 5 * time.Millisecond
+	stop, most := make(chan struct{}), make(chan time.Duration)
+	go func() {
+		worst := time.Duration(0)
+		for {
+			begun := time.Now()
+			select {
+			case <-stop:
+				most <- worst
+				return
+			case <-time.After(interval):
+				worst = max(worst, time.Since(begun)-interval)
+			}
+		}
+	}()
+	return func() time.Duration {
+		close(stop)
+		return <-most
+	}
+}
+
+// requestLine returns the line of the first entry's log with the end of a request, or "".
+func (b *testbed) requestLine(id string) string {
+	text, err := b.entries[0].process.LogText()
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(text) {
+		if strings.Contains(line, `"request_id":"`+id+`"`) && strings.Contains(line, `"message":"request"`) {
+			return line
+		}
 	}
+	return ""
 }
 
 // TestManyEndlessAnswersStayWithinMemory guards against unbounded memory use of an entry when all
