Connections: pipelined requests beyond the server's read buffer are noticed

Cause: whether the next request had come before the answer was seen by bytes that the server had read. At the end of its read buffer it often reads them only after the answer, which began the count anew: with more than 256 bytes a request, each buffer ends before the limit of 16.

Change: for the first request of a connection, and after one that was ahead, the kernel is asked whether bytes wait when the answer begins. Unread bytes of a body don't count. One call more on a new connection.

--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -70,6 +70,9 @@
 	hasWriteDeadline atomic.Bool
 	// answered is set once a part of the answer to the latest request has been written.
 	answered atomic.Bool
+	// mayBeAhead says that the latest request was the first one, or came before the answer to the one before, so that
+	// it is worth a call of the system to see whether the next does.
+	mayBeAhead atomic.Bool
 	// cancel cancels the requests of the connection; it is set before the first one.
 	cancel context.CancelCauseFunc
 
@@ -123,7 +126,12 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	c.answered.Store(true)
+	if !c.answered.Swap(true) && c.mayBeAhead.Load() && netpeek.Peek(c.Conn) == netpeek.Readable {
+		// The server reads no further than its buffer before it answers.
+		c.guard.mu.Lock()
+		c.early = c.early || c.class != classBody
+		c.guard.mu.Unlock()
+	}
 	written := 0
 	for !c.hasWriteDeadline.Load() {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(stalledWriteTimeout)); err != nil {
@@ -200,6 +208,7 @@
 		c.pipelined = 0
 	}
 	c.early = false
+	c.mayBeAhead.Store(c.pipelined > 0 || c.requests == 0)
 	c.requests++
 	c.answered.Store(false)
 	if hasBody {
