Feeds: records passed on from a new process's listing hide no removal

Cause: an entry keeps the records of an incomplete page and passes them on. The receiver counted them as changes that it knows completely, and its peers took over their offsets, behind the removal that the listing lacked.

Change: the last change of a page is what its sender vouches for, whatever further records it holds.

Test: TestRecordsPassedOnFromAListingHideNoRemoval fails before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -376,12 +376,12 @@
 		}
 	}
 	if f.end > 0 {
+		// The peer may hold records behind its last change that it got from such a page itself.
 		changed := f.changed
 		f.apply(fresh)
+		f.changed = changed
 		if page.State.Listed <= f.end {
-			f.end, f.changed = max(f.end, page.State.Changed), max(f.changed, page.State.Changed)
-		} else {
-			f.changed = changed
+			f.end, f.changed = max(f.end, page.State.Changed), max(changed, page.State.Changed)
 		}
 	}
 	f.mu.Unlock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -150,6 +150,40 @@
 	c.Assert(third.State().End, qt.Equals, uint64(4))
 }
 
+// Records of the listing of a new process went on from one that had taken over a later change, and the next one took their
+// offsets for all that it knew: most processes skipped the removal among them (DRAIN on examina-zh-grown, trouble-3).
+func TestRecordsPassedOnFromAListingHideNoRemoval(t *testing.T) {
+	c := qt.New(t)
+	known := []feed.Record{record("a", "1", 0), record("b", "1", 1)}
+	follower := func() (*feed.Feed, *mirror) {
+		f, got := newFeed(false)
+		f.Replace(known, 2, 0)
+		return f, got
+	}
+	change, removal, later := record("a", "2", 2), record("b", "", 3), record("c", "1", 4)
+	started, _ := newFeed(false)
+	started.Replace([]feed.Record{change, later}, 5, 0)
+	reader, _ := newFeed(true)
+	reader.Replace(known, 2, 0)
+	reader.Apply([]feed.Record{change}, 3, 0)
+	first, _ := follower()
+	c.Assert(pull(first, started), qt.IsTrue)
+	c.Assert(pull(first, reader), qt.IsTrue)
+	c.Assert(first.State().End, qt.Equals, uint64(3))
+	second, _ := follower()
+	c.Assert(pull(second, first), qt.IsTrue)
+	c.Assert(second.State().Changed, qt.Equals, uint64(3))
+	third, got := follower()
+	pull(third, second)
+	c.Assert(third.State().End, qt.Equals, uint64(3))
+	reader.Apply([]feed.Record{removal, later}, 5, 0)
+	for _, f := range []*feed.Feed{first, second, third} {
+		c.Assert(pull(f, reader), qt.IsTrue)
+		c.Assert(f.State().End, qt.Equals, uint64(5))
+	}
+	c.Assert(got.values, qt.DeepEquals, map[string]string{"a": "2", "c": "1"})
+}
+
 // A follower that lacks records must not count as up to date, and the time taken over is never later
 // than that of the peer.
 func TestStateOfAPeerIsTakenOverOnlyIfNothingIsMissing(t *testing.T) {
