--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -222,24 +222,21 @@
 
 // Ready returns the servers of a service that accept new requests.
 func (d *Directory) Ready(service string, now time.Time) []Server {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	var list []Server
-	for _, s := range d.servers {
-		if s.Service == service && d.acceptsRequests(s, now) {
-			list = append(list, s)
-		}
-	}
-	return list
+	return d.filter(service, now, d.acceptsRequests)
 }
 
 // Registered returns the servers of a service that are registered and don't drain, also those of evacuated data centres.
 func (d *Directory) Registered(service string, now time.Time) []Server {
+	return d.filter(service, now, d.isRegistered)
+}
+
+// filter returns the servers of a service that match, which is called with d.mu held.
+func (d *Directory) filter(service string, now time.Time, match func(Server, time.Time) bool) []Server {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var list []Server
 	for _, s := range d.servers {
-		if s.Service == service && d.isRegistered(s, now) {
+		if s.Service == service && match(s, now) {
 			list = append(list, s)
 		}
 	}
