Rollout: a decision of one era is not recorded in the next

Cause: the era was compared when the call to the log had returned. An entry that had been cut off decided by the clock, read the orders of the new era while its call ran, and recorded the order as reverted there, which ended the last servers.

Change: a decision carries the era in which it was taken. A state that was recorded in one era while the process moved on to the next counts as lost and is recorded again.

--- a/internal/rollout/fakelog_test.go
+++ b/internal/rollout/fakelog_test.go
@@ -22,6 +22,8 @@
 	// refusedEntry is the ID of an entry whose calls fail.
 	refusedEntry string
 	calls        int
+	// onCurrent, if set, is called before a call of Current is answered.
+	onCurrent func(entry string)
 	// era is that of the store.
 	era uint64
 }
@@ -33,6 +35,12 @@
 }
 
 func (l entryLog) Current(_ context.Context, service string) (rollout.Record, rollout.Position, error) {
+	l.mu.Lock()
+	onCurrent := l.onCurrent
+	l.mu.Unlock()
+	if onCurrent != nil {
+		onCurrent(l.id)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
@@ -84,6 +92,13 @@
 	l.refusedEntry = id
 }
 
+// observeCurrent lets a function be called before each call of Current is answered.
+func (l *fakeLog) observeCurrent(f func(entry string)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onCurrent = f
+}
+
 // states returns the states that were recorded for an order, oldest first.
 func (l *fakeLog) states(order uint64) []rollout.State {
 	l.mu.Lock()
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -1,8 +1,10 @@
 package rollout_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -591,6 +593,41 @@
 	}
 }
 
+// Guards against a reversal that an entry which was cut off decides in one era of the store, and records in the next: it
+// reads the orders of the new era while its call to the log runs.
+func TestReversalOfAnEarlierEraIsNotRecorded(t *testing.T) {
+	simulate(t, 3, healthy, func(sim *simulation) {
+		order := sim.placeOrder(1)
+		sim.sleep(orderDuration - 4*time.Second)
+		sim.update(func() { sim.isolated = "entry-2" })
+		sim.log.refuse("entry-2")
+		sim.c.Assert(sim.waitForState(1, rollout.StateCompleted), qt.IsTrue)
+		sim.update(func() { sim.stopped[oldVersion] = true })
+		sim.sleep(time.Second)
+		for i := range 2 {
+			sim.killEntry(i)
+		}
+		cutOff := sim.entries[2]
+		var rewound atomic.Bool
+		sim.log.observeCurrent(func(id string) {
+			if id == "entry-2" && rewound.CompareAndSwap(false, true) {
+				cutOff.Rewound(1, true)
+			}
+		})
+		sim.log.rewind(func(r rollout.Record) bool { return r.State == rollout.StateActive })
+		sim.log.refuse("")
+		sim.sleep(time.Second)
+		sim.c.Assert(rewound.Load(), qt.IsTrue)
+		for i := range 2 {
+			sim.restartEntry(i, fmt.Sprint("entry-", i), order)
+		}
+		sim.update(func() { sim.isolated = "" })
+		sim.sleep(2 * time.Second)
+		sim.removeServers(oldVersion)
+		sim.assertStaysCompleted()
+	})
+}
+
 // Guards against an entry that was cut off while an order ended and another was given, and keeps blocking the version
 // that runs since.
 func TestVersionThatRunsIsServedAfterTwoOrders(t *testing.T) {
--- a/internal/rollout/run.go
+++ b/internal/rollout/run.go
@@ -42,7 +42,7 @@
 		case now := <-ticker.C:
 			membership := c.options.Membership()
 			for _, pending := range c.evaluate(membership, now) {
-				go c.record(ctx, pending.progress, pending.state)
+				go c.record(ctx, pending)
 			}
 		}
 	}
@@ -52,6 +52,9 @@
 type pendingRecord struct {
 	progress *orderProgress
 	state    State
+	// era is that of the store when the state was decided. What was known then says nothing about an order in a later
+	// era, so the state isn't recorded there.
+	era uint64
 }
 
 // evaluate evaluates all open orders and returns the states that are to be recorded.
@@ -84,7 +87,7 @@
 			continue
 		}
 		p.nextRecord = now.Add(recordTimeout)
-		list = append(list, pendingRecord{p, state})
+		list = append(list, pendingRecord{p, state, c.era})
 	}
 	return list
 }
@@ -200,34 +203,37 @@
 }
 
 // record records a state unless the log already holds a final, equal or later state of the order.
-func (c *Controller) record(ctx context.Context, p *orderProgress, state State) {
+func (c *Controller) record(ctx context.Context, pending pendingRecord) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	recorded, err := c.appendRecord(ctx, p, state)
+	recorded, err := c.appendRecord(ctx, pending)
+	p := pending.progress
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.nextRecord = time.Now().Add(recordRetryInterval)
 	if err != nil {
 		c.options.Logger.Warn().Str("service", p.order.Service).Str("target", p.order.Target).Uint64("order", p.order.ID).
-			Str("state", state.String()).Err(err).Str("outcome", "not recorded").Msg("roll-out")
+			Str("state", pending.state.String()).Err(err).Str("outcome", "not recorded").Msg("roll-out")
 		return
 	}
-	p.recordLostAt = time.Time{}
 	c.applyState(p, recorded, "recorded by this entry or before")
+	p.recordLostAt = time.Time{}
+	if c.era != pending.era && p.state != StateNone {
+		// The store came back from an older copy meanwhile, which may lack the record.
+		p.recordLostAt = time.Now()
+	}
 }
 
 // appendRecord appends a state and returns the state that the log holds afterwards. It returns
 // StateNone if a later order has superseded this one.
-func (c *Controller) appendRecord(ctx context.Context, p *orderProgress, state State) (State, error) {
+func (c *Controller) appendRecord(ctx context.Context, pending pendingRecord) (State, error) {
+	p, state := pending.progress, pending.state
 	current, end, err := c.options.Log.Current(ctx, p.order.Service)
 	if err != nil {
 		return StateNone, err
 	}
-	c.mu.Lock()
-	known := c.era
-	c.mu.Unlock()
-	if end.Era != known {
-		return StateNone, errors.WithStack(&EraError{Known: known, Log: end.Era})
+	if end.Era != pending.era {
+		return StateNone, errors.WithStack(&EraError{Known: pending.era, Log: end.Era})
 	}
 	if current.Order > p.order.ID {
 		// A later order is in progress and will reach this entry through the store or a peer.
