Connections: the test of a connection that gives way waits until it is idle

Cause: the client has its answer before net/http reports the connection as idle. On a machine short of processor time the test's last connection came in between, and was refused, rightly: all others carried a request.

Change: the test waits for the report of the idle state; what it demands of the guard is the same.

--- a/internal/connguard/connguard_test.go
+++ b/internal/connguard/connguard_test.go
@@ -24,6 +24,8 @@
 	release chan struct{}
 	// slow is the number of requests that have begun to wait.
 	slow atomic.Int64
+	// idle is the number of times that the guard has been told that a connection has become idle.
+	idle atomic.Int64
 }
 
 func serve(t *testing.T, connections int, head, total int64) *served {
@@ -42,6 +44,11 @@
 		}
 		_, _ = io.WriteString(w, "ok")
 	})}
+	server.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			s.idle.Add(1)
+		}
+	}
 	s.guard.Protect(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
@@ -126,6 +133,10 @@
 	s.waitFor(1, 1)
 	served := s.dial(request)
 	s.c.Assert(answered(served), qt.IsTrue)
+	// The client has its answer before the server takes the connection as idle.
+	for deadline := time.Now().Add(5 * time.Second); s.idle.Load() == 0; time.Sleep(time.Millisecond) {
+		s.c.Assert(time.Now().Before(deadline), qt.IsTrue)
+	}
 	silent := s.dial("")
 	s.waitFor(3, 1)
 	newest := s.dial(request)
