Limits: an account that turns hot keeps its limit over a hundred entries

Entries there hear of each other every 2.6 s. Shares added up to 55 at an account's first requests and savings to six bursts, spent later; others were charged with at most an equal part while they admitted 2 to 3 times the limit; entries that had not reported yet weren't charged at all.

Change: savings end at the share of the burst; reports from before the first use say nothing; while the bucket is well filled the others' demand is charged as it changes here; unheard entries are charged.

--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -64,11 +64,17 @@
 
 // pooledBucket is the token bucket of one account.
 type pooledBucket struct {
-	rate     Rate
+	rate Rate
+	// since is when the account was first used here.
+	since    time.Time
 	level    float64
 	filledAt time.Time
 	spent    float64
 	demand   rate
+	growth   growth
+	// unheard is the number of tokens charged, up to unheardAt, for each entry that has not reported yet.
+	unheard   float64
+	unheardAt time.Time
 	// credit is the part of this entry's share that it has not spent yet, as of creditAt.
 	credit   float64
 	creditAt time.Time
@@ -119,7 +125,9 @@
 	defer p.mu.Unlock()
 	a := p.bucketFor(name, limit, now)
 	p.chargeSilentPeers(now)
+	a.chargeUnheard(p.entries, len(p.peers), now)
 	a.demand.add(tokens, now)
+	a.growth.add(tokens, now)
 	share, peersKnown := p.share(a, name, now)
 	a.accrueCredit(now, share)
 	aboveThreshold := p.entries == 1 || (peersKnown && a.level >= shareThreshold*a.rate.Burst)
@@ -177,15 +185,22 @@
 	}
 	ownDemand := a.demand.perSecond(now)
 	total, reporting := ownDemand, 0
+	uninformed := 0
 	for _, peer := range p.peers {
-		if !peer.silent {
-			total += peer.accounts[name].Demand
-			reporting++
+		if peer.silent {
+			continue
+		}
+		reporting++
+		use, listed := peer.accounts[name]
+		if !listed && peer.received.Before(a.since) {
+			uninformed++
 		}
+		total += use.Demand
 	}
 	missing := max(p.entries-1-reporting, 0)
-	// Entries without a report are assumed to have the same demand as this one.
-	total += ownDemand * float64(missing)
+	// Entries without a report, or with one from before the account was used, are assumed to have the same demand as this
+	// one.
+	total += ownDemand * float64(missing+uninformed)
 	if total <= 0 {
 		return equal, missing <= reporting
 	}
@@ -196,7 +211,7 @@
 	a := p.accounts[name]
 	if a == nil {
 		level := initialLevel * limit.Burst
-		a = &pooledBucket{rate: limit, level: level, filledAt: now, credit: level / float64(p.entries), creditAt: now}
+		a = &pooledBucket{rate: limit, since: now, level: level, filledAt: now, growth: newGrowth(), unheardAt: now, credit: level / float64(p.entries), creditAt: now}
 		p.accounts[name] = a
 	}
 	if a.rate != limit {
@@ -212,7 +227,7 @@
 func (a *pooledBucket) accrueCredit(now time.Time, share float64) {
 	a.fill(now)
 	if elapsed := now.Sub(a.creditAt).Seconds(); elapsed > 0 {
-		a.credit = min(a.credit+elapsed*a.rate.PerSecond*share, max(a.rate.Burst*share, a.credit))
+		a.credit = min(a.credit+elapsed*a.rate.PerSecond*share, a.rate.Burst*share)
 		a.creditAt = now
 	}
 }
@@ -247,7 +262,7 @@
 		peer.estimatedAt = now
 		for name, use := range peer.accounts {
 			if a := p.accounts[name]; a != nil {
-				tokens := min(use.Demand, a.rate.PerSecond/float64(p.entries)) * elapsed
+				tokens := a.estimateUse(use, p.entries, elapsed, now)
 				a.level -= tokens
 				peer.estimated[name] += tokens
 			}
@@ -255,6 +270,34 @@
 	}
 }
 
+// chargeUnheard takes the estimated use of entries that have never reported to this one: the same as here, at most an equal
+// part of the limit.
+func (a *pooledBucket) chargeUnheard(entries, peers int, now time.Time) {
+	tokens := min(a.demand.perSecond(now), a.rate.PerSecond/float64(entries)) * now.Sub(a.unheardAt).Seconds()
+	a.unheardAt = now
+	if missing := entries - 1 - peers; missing > 0 && tokens > 0 {
+		a.unheard += tokens
+		a.level -= tokens * float64(missing)
+	}
+}
+
+// estimateUse returns the tokens that another entry has probably spent over a number of seconds, given its last report.
+func (a *pooledBucket) estimateUse(use Use, entries int, seconds float64, now time.Time) float64 {
+	// All entries together keep to the limit while the bucket is low.
+	limited := min(use.Demand, a.rate.PerSecond/float64(entries)) * seconds
+	if a.level < shareThreshold*a.rate.Burst {
+		return limited
+	}
+	// Otherwise they admit what is asked of them: the demand there is taken to have changed as it has here, if there is
+	// enough of it here to tell.
+	change, confidence := a.growth.change(now)
+	asked := use.Demand * min(change, 1) * seconds
+	if change > 1 {
+		asked += use.Demand * (change - 1) * min(seconds, growthPeriod.Seconds())
+	}
+	return limited + confidence*max(asked-limited, 0)
+}
+
 // Report returns this entry's use of all accounts.
 func (p *Pool) Report(now time.Time) map[string]Use {
 	p.mu.Lock()
@@ -291,6 +334,9 @@
 		case previous != nil || began.After(p.started.Add(-simultaneousStart)):
 			// All of it was spent after this entry started to count, or shortly before.
 			a.level -= reported.Spent
+			if previous == nil {
+				a.level += a.unheard
+			}
 		}
 	}
 	if len(use) > 0 {
--- a/internal/limit/rate.go
+++ b/internal/limit/rate.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// rateTimeConstant is the time constant of a rate's decay.
+	// rateTimeConstant is the usual time constant of a rate's decay.
 	rateTimeConstant = 2 * time.Second
 	// burstSeconds is the capacity of a bucket in seconds of its rate.
 	burstSeconds = 1.0
@@ -20,6 +20,15 @@
 type rate struct {
 	sum     float64
 	updated time.Time
+	// timeConstant is that of the decay. If 0, it is rateTimeConstant.
+	timeConstant time.Duration
+}
+
+func (r *rate) constantSeconds() float64 {
+	if r.timeConstant > 0 {
+		return r.timeConstant.Seconds()
+	}
+	return rateTimeConstant.Seconds()
 }
 
 func (r *rate) add(n float64, now time.Time) {
@@ -31,11 +40,11 @@
 	if r.sum == 0 {
 		return 0
 	}
-	return r.sum * math.Exp(-now.Sub(r.updated).Seconds()/rateTimeConstant.Seconds())
+	return r.sum * math.Exp(-now.Sub(r.updated).Seconds()/r.constantSeconds())
 }
 
 func (r *rate) perSecond(now time.Time) float64 {
-	return r.decayed(now) / rateTimeConstant.Seconds()
+	return r.decayed(now) / r.constantSeconds()
 }
 
 // bucket is a token bucket with a variable rate. It may be overdrawn.
