Limits: an entry that joins later gets nothing back that wasn't charged for it

The estimated use of unheard entries was given back at the first report of any entry, also of one that joined long after. The estimate now starts anew once all have reported.

--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -72,7 +72,8 @@
 	spent    float64
 	demand   rate
 	growth   growth
-	// unheard is the number of tokens charged, up to unheardAt, for each entry that has not reported yet.
+	// unheard is the number of tokens charged, up to unheardAt, for each entry that has not reported yet, since some
+	// entry hasn't.
 	unheard   float64
 	unheardAt time.Time
 	// credit is the part of this entry's share that it has not spent yet, as of creditAt.
@@ -184,8 +185,8 @@
 		return equal, false
 	}
 	ownDemand := a.demand.perSecond(now)
-	total, reporting := ownDemand, 0
-	uninformed := 0
+	// uninformed entries have last reported before the account was used here.
+	total, reporting, uninformed := ownDemand, 0, 0
 	for _, peer := range p.peers {
 		if peer.silent {
 			continue
@@ -198,8 +199,7 @@
 		total += use.Demand
 	}
 	missing := max(p.entries-1-reporting, 0)
-	// Entries without a report, or with one from before the account was used, are assumed to have the same demand as this
-	// one.
+	// Entries without a report on the account are assumed to have the same demand as this one.
 	total += ownDemand * float64(missing+uninformed)
 	if total <= 0 {
 		return equal, missing <= reporting
@@ -275,10 +275,14 @@
 func (a *pooledBucket) chargeUnheard(entries, peers int, now time.Time) {
 	tokens := min(a.demand.perSecond(now), a.rate.PerSecond/float64(entries)) * now.Sub(a.unheardAt).Seconds()
 	a.unheardAt = now
-	if missing := entries - 1 - peers; missing > 0 && tokens > 0 {
-		a.unheard += tokens
-		a.level -= tokens * float64(missing)
+	missing := entries - 1 - peers
+	if missing <= 0 {
+		// An entry that joins from here on hasn't been charged.
+		a.unheard = 0
+		return
 	}
+	a.unheard += tokens
+	a.level -= tokens * float64(missing)
 }
 
 // estimateUse returns the tokens that another entry has probably spent over a number of seconds, given its last report.
@@ -335,6 +339,7 @@
 			// All of it was spent after this entry started to count, or shortly before.
 			a.level -= reported.Spent
 			if previous == nil {
+				// Its use has been estimated until now.
 				a.level += a.unheard
 			}
 		}
