--- a/review/testdata/rig/client.go
+++ b/review/testdata/rig/client.go
@@ -22,6 +22,7 @@
 	retryAfter time.Duration
 	err        error
 	whole      bool
+	body       []byte
 	signed     bool
 	// isRepeat says that the client sends the request for the second time.
 	isRepeat bool
@@ -104,7 +105,7 @@
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		a.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
-	_, err = io.Copy(io.Discard, response.Body)
+	a.body, err = io.ReadAll(response.Body)
 	a.status, a.err, a.whole, a.signed = response.StatusCode, err, err == nil, response.Header.Get(headerStamp) != ""
 	c.bed.record.add("client gets %d to %s, signed %v, whole %v", a.status, a.id, a.signed, a.whole)
 }
--- a/review/testdata/rig/server.go
+++ b/review/testdata/rig/server.go
@@ -47,6 +47,8 @@
 	events int
 	// work is how long a plain server works on a request.
 	work time.Duration
+	// isUnframed says that streams have neither a length nor chunks, and end with their channel.
+	isUnframed bool
 	// queue is the number of requests that wait for a slot; a server sheds further ones. 0 means any number.
 	queue int
 	// deadly reports whether the engine crashes as it begins to write the answer to a request. It may be nil.
@@ -224,6 +226,10 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
+	if s.isUnframed {
+		s.streamUnframed(ctx, w, r, id)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for event := first + 1; event <= s.events; event++ {
@@ -237,6 +243,35 @@
 	}
 }
 
+// streamUnframed sends a stream that ends with its channel. Each event has three fields, which are sent one by one. If the
+// engine crashes, the stream ends after the first field of an event.
+func (s *server) streamUnframed(ctx context.Context, w http.ResponseWriter, r *http.Request, id string) {
+	stamp := w.Header().Get(headerStamp)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", headerID, id, headerStamp, stamp)
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for event := first + 1; event <= s.events; event++ {
+		for _, field := range []string{"event: token\n", fmt.Sprintf("id: %d\n", event), fmt.Sprintf("data: %s %d\n\n", id, event)} {
+			if _, err := io.WriteString(conn, field); err != nil {
+				return
+			}
+			if ctx.Err() != nil {
+				s.bed.record.add("server %s ends the stream of %s inside event %d", s.id, id, event)
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pace):
+		}
+	}
+	s.bed.record.add("server %s has sent the stream of %s whole", s.id, id)
+}
+
 // pause waits, and drops the request if the server or the channel ends meanwhile.
 func (s *server) pause(life, request context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
