--- a/review/testdata/rig/broken.go
+++ b/review/testdata/rig/broken.go
@@ -46,7 +46,7 @@
 			b.servers[0].stop()
 		}
 	})
-	each(70*time.Millisecond, brokenTotal, func(i int) {
+	each(40*time.Millisecond, brokenTotal, func(i int) {
 		path := []string{"/once/x", "/resumable/x"}[i/2%2]
 		c.send(entries[i%len(entries)], request{method: "POST", path: path, timeout: 5 * time.Second, header: map[string]string{
 			headerTokens: fmt.Sprintf("460,%d", brokenEvents), headerParts: fmt.Sprintf("shared01:60,own%05d:400", i),
