--- a/review/testdata/rig/broken.go
+++ b/review/testdata/rig/broken.go
@@ -42,8 +42,7 @@
 	c := newClients(b)
 	time.AfterFunc(crashAt, func() {
 		if trouble {
-			b.record.add("server %s crashes", b.servers[0].id)
-			b.servers[0].stop()
+			b.servers[0].crash()
 		}
 	})
 	each(40*time.Millisecond, brokenTotal, func(i int) {
--- a/review/testdata/rig/poison.go
+++ b/review/testdata/rig/poison.go
@@ -49,7 +49,6 @@
 			mu.Lock()
 			crashes = append(crashes, time.Now())
 			mu.Unlock()
-			b.store.RemoveServer(s.registration.ID)
 			time.Sleep(crashedFor)
 			if ctx.Err() == nil {
 				_ = s.start()
--- a/review/testdata/rig/server.go
+++ b/review/testdata/rig/server.go
@@ -149,6 +149,14 @@
 	s.bed.record.add("server %s (%s) ends", s.id, s.version)
 }
 
+// crash ends the lifetime without a word. The platform removes the registration after three intervals without a renewal.
+func (s *server) crash() {
+	id := s.id
+	s.bed.record.add("server %s crashes", id)
+	s.stop()
+	time.AfterFunc(3*heartbeat, func() { s.bed.store.RemoveServer(id) })
+}
+
 // stop ends the lifetime: the server takes no connections and drops those that it has.
 func (s *server) stop() {
 	s.mu.Lock()
@@ -258,8 +266,8 @@
 	}
 	s.pause(ctx, r.Context(), prefill)
 	if s.deadly != nil && s.deadly(r.Header) {
-		s.bed.record.add("server %s crashes on request %s", s.id, id)
-		s.stop()
+		s.bed.record.add("request %s is deadly", id)
+		s.crash()
 		if s.onCrash != nil {
 			go s.onCrash(s)
 		}
