--- a/review/testdata/rig/bed.go
+++ b/review/testdata/rig/bed.go
@@ -76,16 +76,16 @@
 func (r *record) write(path string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return os.WriteFile(path, []byte(strings.Join(r.lines, "\n")+"\n"), 0o600)
+	return os.WriteFile(path, []byte(strings.Join(r.lines, "\n")+"\n"), 0o644)
 }
 
 // newBed starts the store on the first free loopback network.
 func newBed() (*bed, error) {
-	folder, err := os.MkdirTemp("", "rig-")
-	if err != nil {
-		return nil, err
+	b := &bed{store: standin.NewStore(), record: &record{began: time.Now()}}
+	var err error
+	if b.folder, err = os.MkdirTemp("", "rig-"); err != nil {
+		return b, err
 	}
-	b := &bed{folder: folder, store: standin.NewStore(), record: &record{began: time.Now()}}
 	var listener net.Listener
 	for b.network = 150; b.network < 250; b.network++ {
 		if listener, err = net.Listen("tcp", b.storeAddress()); err == nil {
--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -1,12 +1,13 @@
-// Command rig plays one case of the review against the programs in target/, on loopback addresses. It exits with 1 if the
-// rule was broken, with 0 if it held and with 2 if the case could not be played.
+// Command rig plays one case of the review against the programs in target/, on loopback addresses, and writes what was
+// sent, answered and run to a file. It exits with 1 if the rule was broken, with 0 if it held and with 2 if the case could
+// not be played.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -20,46 +21,43 @@
 
 func main() {
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: rig CASE FILE")
 		os.Exit(2)
 	}
 	os.Exit(run(plays[os.Args[1]], os.Args[2]))
 }
 
-func run(p play, folder string) int {
+func run(p play, file string) int {
 	trouble := os.Getenv("TROUBLE") != "0"
 	b, err := newBed()
+	defer b.close(os.Getenv("KEEP") == "1")
 	if err != nil {
-		fmt.Println("could not run:", err)
-		return 2
+		return b.finish(file, "", err)
 	}
-	defer b.close(os.Getenv("KEEP") == "1")
-	time.AfterFunc(playLimit, func() {
-		fmt.Println("could not run: the play does not end")
-		os.Exit(2)
-	})
+	time.AfterFunc(playLimit, func() { os.Exit(b.finish(file, "", errEndless)) })
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go b.renew(ctx)
 	broken, err := p(ctx, b, trouble)
+	return b.finish(file, broken, err)
+}
+
+var errEndless = errors.New("the play does not end")
+
+// finish writes the record to a file, and returns the exit status.
+func (b *bed) finish(file, broken string, err error) int {
+	result, status := "result: held", 0
 	switch {
 	case err != nil:
-		b.record.add("result: could not run: %v", err)
+		result, status = "result: could not run: "+err.Error(), 2
 	case broken != "":
-		b.record.add("result: broken: %s", broken)
-	default:
-		b.record.add("result: held")
-	}
-	fmt.Println(b.record.lines[len(b.record.lines)-1])
-	if writeErr := b.record.write(filepath.Join(folder, "record.txt")); writeErr != nil {
-		fmt.Println("could not write the record:", writeErr)
-		return 2
+		result, status = "result: broken: "+broken, 1
 	}
-	switch {
-	case err != nil:
+	b.record.add("%s", result)
+	fmt.Println(result)
+	if err := b.record.write(file); err != nil {
+		fmt.Println("could not write the record:", err)
 		return 2
-	case broken != "":
-		return 1
 	}
-	return 0
+	return status
 }
