Gateway: a stream that stops after any field of an event is broken off

Cause: the reader took a block of lines for an event from its first `id` or `data` field on, so that any other beginning at the end of a body counted as the bytes after the last event. It also knew LF and CRLF as line ends only.

Change: internal/eventstream finds the ends of events after the text/event-stream format: a block with any field and without its blank line, or a line without its end, is a stream broken off; comments, blank lines and whole events may follow the last one.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lagoonlane/lagoonlane/internal/eventstream"
 	"github.com/lagoonlane/lagoonlane/internal/membudget"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
@@ -25,12 +26,6 @@
 	maxUnnumberedEvents = 4
 )
 
-// Prefixes of the fields that make a block of lines an event.
-var (
-	idField   = []byte("id:")
-	dataField = []byte("data")
-)
-
 // maxEvents returns how many events a stream may have, or 0 if that is unknown.
 func (c *call) maxEvents() int {
 	if !c.info.HasTokens || c.info.MaxOutputTokens == 0 {
@@ -52,6 +47,7 @@
 // the stream is incomplete.
 type eventReader struct {
 	reader      *bufio.Reader
+	scanner     eventstream.Scanner
 	reservation *membudget.Reservation
 	// data is the buffer of the current event; charged is the number of bytes of it that are
 	// charged to hold.
@@ -71,45 +67,33 @@
 }
 
 // next returns the next event, or io.EOF at the end of a complete stream. Blank lines, comments
-// and unknown fields alone don't form an event; they are returned with the next one. Otherwise a
-// stream of comments would count as progress.
+// and events without data and id are returned with the next event. Otherwise a stream of comments
+// would count as progress.
 func (e *eventReader) next() (event, error) {
 	ev := event{empty: true}
 	e.data = e.data[:0]
-	for lineStart := true; ; {
-		line, err := e.reader.ReadSlice('\n')
-		if err := e.appendData(line); err != nil {
-			return ev, err
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			// The next slice continues the same line.
-			ev.empty = ev.empty && !(lineStart && bytes.HasPrefix(line, dataField))
-			lineStart = false
-			continue
+	for {
+		_, err := e.reader.Peek(1)
+		if errors.Is(err, io.EOF) && e.scanner.InEvent() {
+			return ev, errors.WithStack(io.ErrUnexpectedEOF)
 		}
 		if errors.Is(err, io.EOF) && len(e.data) > 0 {
-			if len(line) == 0 && ev.empty && lineStart {
-				ev.data = e.data
-				return ev, nil
-			}
-			return ev, errors.WithStack(io.ErrUnexpectedEOF)
+			ev.data = e.data
+			return ev, nil
 		}
 		if err != nil {
 			return ev, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if !lineStart {
-			lineStart = true
-			continue
+		received, _ := e.reader.Peek(e.reader.Buffered())
+		n, ended := e.scanner.Next(received)
+		if err := e.appendData(received[:n]); err != nil {
+			return ev, err
 		}
-		if value, found := bytes.CutPrefix(text, idField); found {
-			ev.id = string(bytes.TrimPrefix(value, []byte(" ")))
-			ev.empty = false
+		if _, err := e.reader.Discard(n); err != nil {
+			return ev, errors.WithStack(err)
 		}
-		ev.empty = ev.empty && !bytes.HasPrefix(text, dataField)
-		if len(text) == 0 && !ev.empty {
-			ev.data = e.data
-			return ev, nil
+		if ended != nil && (ended.HasID || ended.HasData) {
+			return event{id: ended.ID, data: e.data}, nil
 		}
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoonlane/lagoonlane/internal/bounded"
+	"github.com/lagoonlane/lagoonlane/internal/eventstream"
 	"github.com/lagoonlane/lagoonlane/internal/steady"
 	"github.com/lagoonlane/lagoonlane/internal/upstream"
 )
@@ -183,6 +184,9 @@
 		if errors.Is(err, io.EOF) {
 			break
 		}
+		if err == nil && resumed && count == 1 {
+			event.data = eventstream.TrimByteOrderMark(event.data)
+		}
 		if err == nil && resumed && result.events == 0 {
 			err = checkResumption(event)
 		}
