Own interface: callers get no half event, and no half stream of a service

Seen by TestStreamThatStopsInsideAnEventIsNeverWhole, which fails on: when a stream of an engine broke off inside an event, the entry wrote a blank line and `event: error`, and the blank line made the half event a whole one to its reader (`{"n":` as a piece). A service's stream that ended with its connection inside an event counted as whole; an engine's with a comment after `[DONE]` as broken.

Cause: the sidecar and the entry looked at the last bytes of a stream, not at its events.

Change: both read it with internal/eventstream. The entry forwards whole events and holds back the beginning of one, up to 64 KiB; what isn't whole is dropped before the error event.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoonlane/lagoonlane/internal/callerconn"
+	"github.com/lagoonlane/lagoonlane/internal/eventstream"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 )
 
@@ -24,16 +25,15 @@
 	// 1/callerDelayDivisor of the time between the first and the last chunk.
 	callerDelayDivisor = 10
 	minCallerDelay     = 50 * time.Millisecond
-	// tailBytes is the number of bytes kept from the end of an event stream to check its last
-	// event.
-	tailBytes        = 32
+	// maxHeldEvent is the size in bytes up to which an event is held back until it is whole.
+	maxHeldEvent     = 64 << 10
 	eventContentType = "text/event-stream"
 )
 
-// doneEvent is the last event of a complete event stream of a model engine.
-var doneEvent = []byte("data: [DONE]")
+// doneData is the data of the last event of a complete event stream of a model engine.
+var doneData = []byte("[DONE]")
 
-// relay writes one answer to the caller. An event stream is forwarded chunk by chunk; any other
+// relay writes one answer to the caller. An event stream is forwarded event by event; any other
 // answer is buffered until it is complete or exceeds maxBufferedAnswer.
 type relay struct {
 	w          http.ResponseWriter
@@ -43,11 +43,15 @@
 	// end is set when the end frame was received.
 	end *lanepb.End
 	// streaming is set once chunks are written to the caller as they arrive.
-	streaming      bool
-	eventStream    bool
-	headerSent     bool
-	buffer         []byte
-	streamTail     []byte
+	streaming   bool
+	eventStream bool
+	headerSent  bool
+	buffer      []byte
+	// scanner finds the events of an event stream; held is the part of an event that isn't whole.
+	scanner eventstream.Scanner
+	held    []byte
+	// done is set if the last event of an event stream was its end marker.
+	done           bool
 	chunks         uint64
 	bytes          uint64
 	firstChunkTime time.Time
@@ -123,6 +127,12 @@
 		}
 		chunk, r.buffer = r.buffer, nil
 	}
+	if r.eventStream {
+		chunk = r.takeWholeEvents(chunk)
+	}
+	if len(chunk) == 0 {
+		return nil
+	}
 	_, err := r.w.Write(chunk)
 	if err == nil && !more {
 		err = r.controller.Flush()
@@ -144,7 +154,7 @@
 	return r.writeTime > r.lastChunkTime.Sub(r.firstChunkTime)/callerDelayDivisor+minCallerDelay
 }
 
-// recordChunk updates the counters, the chunk times and the tail of an event stream.
+// recordChunk updates the counters and the chunk times.
 func (r *relay) recordChunk(chunk []byte) {
 	r.lastChunkTime = time.Now()
 	if r.chunks == 0 {
@@ -152,17 +162,30 @@
 	}
 	r.chunks++
 	r.bytes += uint64(len(chunk))
-	if !r.eventStream {
-		return
+}
+
+// takeWholeEvents adds a chunk of an event stream to the part that is held back. It returns the whole events and
+// comments, and holds back the rest: an event of which the caller has a part can't be taken back.
+func (r *relay) takeWholeEvents(chunk []byte) []byte {
+	stream, whole := chunk, 0
+	if len(r.held) > 0 {
+		stream = append(r.held, chunk...)
 	}
-	if len(chunk) >= tailBytes {
-		r.streamTail = append(r.streamTail[:0], chunk[len(chunk)-tailBytes:]...)
-		return
+	for read := len(r.held); read < len(stream); {
+		n, event := r.scanner.Next(stream[read:])
+		read += n
+		if event != nil && event.HasData {
+			r.done = bytes.Equal(event.Data, doneData)
+		}
+		if !r.scanner.InEvent() {
+			whole = read
+		}
 	}
-	r.streamTail = append(r.streamTail, chunk...)
-	if excess := len(r.streamTail) - tailBytes; excess > 0 {
-		r.streamTail = append(r.streamTail[:0], r.streamTail[excess:]...)
+	if len(stream)-whole > maxHeldEvent {
+		whole = len(stream)
 	}
+	r.held = bytes.Clone(stream[whole:])
+	return stream[:whole]
 }
 
 // flush sends buffered response data to the caller.
@@ -183,6 +206,9 @@
 	if end.GetTotalFrames() != frames || end.GetTotalBytes() != r.bytes {
 		return errors.WithStack(&BadAnswerError{Detail: "the totals differ"})
 	}
+	if r.streaming && r.eventStream && r.scanner.InEvent() {
+		return errors.WithStack(&BadAnswerError{Detail: "the event stream ends inside an event"})
+	}
 	if r.call.forEngine() && r.head.GetStatus() == http.StatusOK {
 		if err := r.checkEngineAnswer(); err != nil {
 			return err
@@ -205,7 +231,7 @@
 
 // checkEngineAnswer returns *BadAnswerError if a model engine truncated its answer.
 func (r *relay) checkEngineAnswer() error {
-	if r.eventStream && !bytes.HasSuffix(bytes.TrimSpace(r.streamTail), doneEvent) {
+	if r.eventStream && !r.done {
 		return errors.WithStack(&BadAnswerError{Detail: "the event stream has no last event"})
 	}
 	if !r.streaming && !json.Valid(r.buffer) {
@@ -223,10 +249,11 @@
 }
 
 // abort ends an answer that can't be completed so that the caller detects it: an event stream gets
-// a final error event with the problem, and the connection is closed. It doesn't return.
+// a final error event with the problem, unless the caller has a part of an event, and the connection is closed. It doesn't
+// return.
 func (r *relay) abort(request *http.Request, problem *Problem) {
-	if r.eventStream {
-		event := append([]byte("\n\nevent: error\ndata: "), problem.JSON()...)
+	if r.eventStream && (len(r.held) > 0 || !r.scanner.InEvent()) {
+		event := append([]byte("event: error\ndata: "), problem.JSON()...)
 		_, _ = r.w.Write(append(event, "\n\n"...))
 		_ = r.controller.Flush()
 	}
--- a/internal/sidecar/answercheck.go
+++ b/internal/sidecar/answercheck.go
@@ -6,13 +6,14 @@
 	"strconv"
 	"strings"
 
+	"github.com/lagoonlane/lagoonlane/internal/eventstream"
 	"github.com/lagoonlane/lagoonlane/internal/platform"
 	"github.com/lagoonlane/lagoonlane/internal/rpc/lanepb"
 )
 
 const (
 	// tailBytes is how much of the end of an engine's answer is retained: enough for the
-	// end marker of the stream and the usage object.
+	// usage object.
 	tailBytes = 4 << 10
 	// statusOK and statusMultipleChoices are the bounds of the successful HTTP statuses:
 	// the first one and the one after the last.
@@ -21,8 +22,8 @@
 )
 
 var (
-	streamEndMarker = []byte("data: [DONE]")
-	eventPrefix     = []byte("data:")
+	// streamEndMarker is the data of the last event of an engine's stream.
+	streamEndMarker = []byte("[DONE]")
 	usageKey        = []byte(`"usage":`)
 )
 
@@ -30,8 +31,11 @@
 type answerCheck struct {
 	// engine is true if the backend server is an engine.
 	engine bool
-	// stream is true if an engine answers with a stream of server-sent events.
+	// stream is true if the answer is a stream of server-sent events.
 	stream bool
+	// scanner finds the events of a stream; ended is set if the last one is its end marker.
+	scanner eventstream.Scanner
+	ended   bool
 	// length is the Content-Length in bytes, or -1 without one.
 	length int64
 	// tail holds at least the last tailBytes bytes of an engine's answer.
@@ -44,49 +48,49 @@
 func newAnswerCheck(engine bool, reply *platform.Answer) answerCheck {
 	c := answerCheck{engine: engine, length: -1}
 	success := reply.Status >= statusOK && reply.Status < statusMultipleChoices
-	c.stream = engine && success && strings.HasPrefix(reply.Header.Get("Content-Type"), "text/event-stream")
+	c.stream = success && strings.HasPrefix(reply.Header.Get("Content-Type"), "text/event-stream")
 	if contentLength, err := strconv.ParseInt(reply.Header.Get("Content-Length"), 10, 64); err == nil {
 		c.length = contentLength
 	}
 	return c
 }
 
-// observe processes a chunk of the body and returns the number of token events in it. The
-// body is not parsed: an event counts where its "data:" lies within one chunk.
+// observe processes a chunk of the body and returns the number of token events that end in it.
 func (c *answerCheck) observe(chunk []byte) int {
-	if !c.engine {
-		return 0
+	if c.engine {
+		c.tail = append(c.tail, chunk...)
 	}
-	c.tail = append(c.tail, chunk...)
 	if len(c.tail) > 2*tailBytes {
 		c.tail = append(c.tail[:0], c.tail[len(c.tail)-tailBytes:]...)
 	}
 	if !c.stream {
 		return 0
 	}
-	events := bytes.Count(chunk, eventPrefix) - bytes.Count(chunk, streamEndMarker)
-	c.events += uint32(max(0, events))
-	return max(0, events)
+	tokens := 0
+	for len(chunk) > 0 {
+		n, event := c.scanner.Next(chunk)
+		chunk = chunk[n:]
+		if event == nil || !event.HasData {
+			continue
+		}
+		if c.ended = bytes.Equal(event.Data, streamEndMarker); !c.ended {
+			tokens++
+		}
+	}
+	if !c.engine {
+		return 0
+	}
+	c.events += uint32(tokens)
+	return tokens
 }
 
-// complete reports whether an answer with total body bytes is complete: the length matches
-// Content-Length and an event stream ends with its end marker.
+// complete reports whether an answer with total body bytes is complete: the length matches Content-Length, a stream
+// doesn't end inside an event, and that of an engine ends with its end marker.
 func (c *answerCheck) complete(total uint64) bool {
 	if c.length >= 0 && total != uint64(c.length) {
 		return false
 	}
-	return !c.stream || endsStream(c.tail)
-}
-
-// endsStream reports whether the last event of a stream is its end marker. The same text inside a token doesn't count,
-// and neither does a marker without the blank line that ends its event: readers drop such an event.
-func endsStream(tail []byte) bool {
-	text := bytes.TrimRight(tail, "\r\n")
-	if bytes.Count(tail[len(text):], []byte("\n")) < 2 {
-		return false
-	}
-	rest, found := bytes.CutSuffix(text, streamEndMarker)
-	return found && (len(rest) == 0 || rest[len(rest)-1] == '\n')
+	return !c.stream || !c.scanner.InEvent() && (c.ended || !c.engine)
 }
 
 // reportedUsage is the JSON usage object in an engine's answer.
