Own interface: the answer of a stopping server changes under a race detector

The race detector found the answer of TestStreamThatStopsInsideAnEventIsNeverWhole written while a load report was being served, in its first run with -race. It is stored atomically; go test -race -run Stops ./internal/entry passes.

--- a/internal/entry/eventcut_test.go
+++ b/internal/entry/eventcut_test.go
@@ -56,7 +56,8 @@
 						text += part
 					}
 					ends[len(": opening\n")] = test.kind == sidecar.KindService
-					server := &stoppingServer{}
+					server, empty := &stoppingServer{}, ""
+					server.answer.Store(&empty)
 					cluster := newTestCluster(1)
 					cluster.addStoppingServer(test.kind, server)
 					entry := cluster.startEntry("entry", nil)
@@ -72,8 +73,9 @@
 						if framing == "length" {
 							head += fmt.Sprintf("Content-Length: %d\r\n", n)
 						}
-						server.answer = head + "\r\n" + text[:n]
-						server.bytes.Store(int64(len(server.answer)))
+						answer := head + "\r\n" + text[:n]
+						server.answer.Store(&answer)
+						server.bytes.Store(int64(len(answer)))
 						// The entry leaves a backend server alone that has failed.
 						time.Sleep(time.Minute)
 						request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+entry.address+target, strings.NewReader(content))
--- a/internal/entry/truncated_test.go
+++ b/internal/entry/truncated_test.go
@@ -20,7 +20,7 @@
 // stoppingServer is a backend server that stops after a number of bytes of its answer and closes the connection. Its load
 // reports are whole, and it has no answers to resume.
 type stoppingServer struct {
-	answer   string
+	answer   atomic.Pointer[string]
 	bytes    atomic.Int64
 	requests atomic.Int64
 }
@@ -34,7 +34,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
-		text := s.answer
+		text := *s.answer.Load()
 		switch {
 		case request.URL.Path == "/v1/load":
 			text = "HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n{\"versions\":[\"v1\"]}"
@@ -84,7 +84,8 @@
 			bubble(t, func(t *testing.T) {
 				c := qt.New(t)
 				cluster := newTestCluster(1)
-				server := &stoppingServer{answer: test.answer}
+				server := &stoppingServer{}
+				server.answer.Store(&test.answer)
 				cluster.addStoppingServer(test.kind, server)
 				entry := cluster.startEntry("entry", nil)
 				cluster.entries = append(cluster.entries, entry)
