Deadly prompt parts are known after all entries were killed

Cause: crashes and blocks lived in the memory of the entries only, which exchange them; nothing outlived the last one, nor evidence half collected.

The answer that released a block is told for as long as a record or a peer may hold the block.

--- a/cmd/lagoonlane/entry.go
+++ b/cmd/lagoonlane/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/lagoonlane/lagoonlane/internal/claim"
@@ -12,6 +13,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/move"
 	"github.com/lagoonlane/lagoonlane/internal/platform"
 	"github.com/lagoonlane/lagoonlane/internal/poison"
+	"github.com/lagoonlane/lagoonlane/internal/poison/keeper"
 	"github.com/lagoonlane/lagoonlane/internal/query"
 	"github.com/lagoonlane/lagoonlane/internal/settings"
 )
@@ -32,7 +34,8 @@
 		return err
 	}
 	signals.attach(p.logger, func() error { return checkEntry(path) })
-	prompts := poison.New(poison.Options{Now: time.Now, Logger: p.logger})
+	var evidence *keeper.Keeper
+	prompts := poison.New(poison.Options{Now: time.Now, OnChange: func(own bool) { evidence.Request(own) }, Places: 1, Logger: p.logger})
 	shared := newSharedState(p, file.Platform, prompts)
 	defer shared.close()
 	claims := claim.New(claim.Options{
@@ -62,6 +65,23 @@
 	if err != nil {
 		return err
 	}
+	evidence, err = keeper.New(keeper.Options{
+		Name: "sidecars", Tracker: prompts, Live: true,
+		Log: &keeper.Peers{
+			Client: shared.peerClient, URL: peerURL, Addresses: func() []string { return shared.poller.AddressesByRole(platform.RoleSidecar) },
+		},
+		Ready: shared.poller.Ready,
+		Rank: func() int {
+			entries := shared.poller.AddressesByRole(platform.RoleEntry)
+			slices.Sort(entries)
+			return max(0, slices.Index(entries, file.Process.Internal))
+		},
+		CanServe: func() bool { return shared.stream.Ready() && entryRole.Ready() },
+		Patience: keeper.DefaultPatience, Logger: p.logger, Meter: p.metrics.Meter,
+	})
+	if err != nil {
+		return err
+	}
 	weights := platform.NewHTTPWeights(file.Platform.Weights, newPlatformClient())
 	planner := move.NewPlanner(move.PlannerOptions{
 		Config:    shared.holder,
@@ -86,8 +106,8 @@
 	entryRole.Register(public)
 	registerAdmin(public, shared, planner, file.Operators)
 	return p.serve(ctx, roleHooks{
-		ready:      func() bool { return shared.stream.Ready() && entryRole.Ready() },
-		background: append(shared.background(), claims.Run, entryRole.Run, driver.Run),
+		ready:      func() bool { return shared.stream.Ready() && entryRole.Ready() && prompts.Known() },
+		background: append(shared.background(), claims.Run, evidence.Run, entryRole.Run, driver.Run),
 		drain:      entryRole.Drain,
 		public:     public,
 	})
--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,6 +26,7 @@
 	"github.com/lagoonlane/lagoonlane/internal/lateness"
 	"github.com/lagoonlane/lagoonlane/internal/limit"
 	"github.com/lagoonlane/lagoonlane/internal/poison"
+	"github.com/lagoonlane/lagoonlane/internal/poison/keeper"
 	"github.com/lagoonlane/lagoonlane/internal/rollout"
 	"github.com/lagoonlane/lagoonlane/internal/roster"
 	"github.com/lagoonlane/lagoonlane/internal/slots"
@@ -227,6 +229,7 @@
 		Limiter: n.limiter,
 	})
 	n.internal.Handle("GET "+slots.Path, server)
+	keeper.NewHolder(steady.Now, n.logger).Register(n.internal)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(background)
@@ -249,6 +252,7 @@
 	deputy        *deputy.Deputy
 	rollouts      *rollout.Controller
 	poison        *poison.Tracker
+	evidence      promptKeepers
 	backpressure  *backpressure.Tracker
 	lateness      *lateness.Meter
 	upstream      *upstream.Client
@@ -290,7 +294,12 @@
 	if err != nil {
 		return nil, err
 	}
-	e.poison = poison.New(poison.Options{Now: steady.Now, Engines: func() int { return len(e.directory.IDs()) }, Logger: n.logger})
+	e.poison = poison.New(poison.Options{
+		Now: steady.Now, Engines: func() int { return len(e.directory.IDs()) }, OnChange: func(own bool) { e.evidence.request(own) }, Places: 2, Logger: n.logger,
+	})
+	if e.evidence, err = e.newKeepers(holder, peerClient); err != nil {
+		return nil, err
+	}
 	e.backpressure = backpressure.New(backpressure.Options{ID: n.settings.ID, Now: steady.Now, Logger: n.limiter.Logger(n.logger, "backpressure")})
 	e.feeds = e.newFeeds()
 	e.roster = roster.New(roster.Options{
@@ -309,6 +318,44 @@
 	return e, err
 }
 
+// promptKeepers keep the evidence about prompts in the store, which survives the loss of all machines, and at sidecars,
+// which can be reached while the store is away.
+type promptKeepers struct{ store, sidecars *keeper.Keeper }
+
+func (k promptKeepers) request(own bool) {
+	k.store.Request(own)
+	k.sidecars.Request(own)
+}
+
+func (e *entryNode) newKeepers(holder *fleet.Holder, client *http.Client) (promptKeepers, error) {
+	options := keeper.Options{
+		Name: "store", Tracker: e.poison, Log: &platform.PromptLog{Store: e.store},
+		Rank: func() int { return e.roster.Membership().Rank },
+		CanServe: func() bool {
+			manifest, _ := holder.Current()
+			return manifest != nil && e.directory.Loaded()
+		},
+		Patience: keeper.DefaultPatience, Logger: e.logger, Meter: e.metrics.Meter,
+	}
+	store, err := keeper.New(options)
+	if err != nil {
+		return promptKeepers{}, err
+	}
+	sidecarAddress := gateway.SidecarAddress(strconv.Itoa(e.settings.InternalPort), holder)
+	addresses := func() (list []string) {
+		for _, id := range e.directory.IDs() {
+			if server, registered := e.directory.Server(id); registered {
+				list = append(list, sidecarAddress(server))
+			}
+		}
+		return slices.DeleteFunc(list, func(address string) bool { return address == "" })
+	}
+	options.Name, options.Live, options.Ready, options.Patience = "sidecars", true, options.CanServe, 0
+	options.Log = &keeper.Peers{Client: client, Addresses: addresses, URL: peerURL}
+	sidecars, err := keeper.New(options)
+	return promptKeepers{store: store, sidecars: sidecars}, err
+}
+
 // newGateway returns the gateway of the entry, and sets its deputy.
 func (e *entryNode) newGateway(codec platform.Codec, holder *fleet.Holder, pool *limit.Pool) (*gateway.Gateway, error) {
 	n, bounds := e.node, e.settings.Bounds
@@ -365,7 +412,10 @@
 		entries: feed.New(feed.Options{
 			Topic: platform.TopicEntries, IsReader: isReader, MaxAge: membersWait,
 			Listener: &platform.MemberSource{
-				Logger: e.logger, AddEntry: func(id, address string) { e.roster.AddEntry(id, address) }, OnRewound: e.requestRegistration,
+				Logger: e.logger, AddEntry: func(id, address string) { e.roster.AddEntry(id, address) }, OnRewound: func() {
+					e.requestRegistration()
+					e.evidence.store.Rewound()
+				},
 			},
 		}),
 	}
@@ -427,7 +477,7 @@
 		followWithin(e.feeds.servers, always(time.Duration(serversWaitShare*float64(bounds.DrainWithin))), serversWaitShare, bounds.DrainWithin, serversPause),
 		follow(e.feeds.entries, always(membersWait), time.Second),
 		func(ctx context.Context) error { return e.rollouts.RunWhileOpen(ctx, statuses) }, e.rollouts.Run,
-		e.register, e.roster.Run, e.gateway.Run, e.upstream.Run, e.lateness.Run,
+		e.register, e.evidence.store.Run, e.evidence.sidecars.Run, e.roster.Run, e.gateway.Run, e.upstream.Run, e.lateness.Run,
 	}, e.drain)
 }
 
--- a/cmd/lagoonlane/sidecar.go
+++ b/cmd/lagoonlane/sidecar.go
@@ -4,8 +4,10 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/lagoonlane/lagoonlane/internal/platform"
+	"github.com/lagoonlane/lagoonlane/internal/poison/keeper"
 	"github.com/lagoonlane/lagoonlane/internal/settings"
 	"github.com/lagoonlane/lagoonlane/internal/sidecar"
 )
@@ -40,6 +42,7 @@
 		return err
 	}
 	sidecarRole.Register(p.internal)
+	keeper.NewHolder(time.Now, p.logger).Register(p.internal)
 	shared.node.Register(p.internal)
 	return p.serve(ctx, roleHooks{
 		ready:      shared.stream.Ready,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,6 +130,8 @@
 		return "no configuration yet"
 	case !g.options.Directory.Loaded():
 		return "no backend servers known yet"
+	case !g.options.Poison.Known():
+		return reasonNoEvidence
 	case g.overloaded():
 		return "short of processor time"
 	case manifest.HasAccounts && steady.Since(confirmed) >= g.options.Bounds.RevokeWithin/2:
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -19,6 +19,8 @@
 	crashProbeTimeout = 100 * time.Millisecond
 )
 
+const reasonNoEvidence = "the evidence about prompts has not been read yet"
+
 // partIDs returns the ids of the prompt parts.
 func (i RequestInfo) partIDs() []string {
 	ids := make([]string, len(i.Parts))
@@ -28,8 +30,12 @@
 	return ids
 }
 
-// checkPrompt refuses a call with a prompt part that crashes engines.
+// checkPrompt refuses a call with a prompt part that crashes engines, and one whose parts aren't known to be harmless as
+// the evidence of earlier processes hasn't been read yet.
 func (g *Gateway) checkPrompt(call *call) *Failure {
+	if call.engine != nil && len(call.info.Parts) > 1 && !g.options.Poison.Known() {
+		return unavailable(KindNotReady, defaultRetryAfter, reasonNoEvidence)
+	}
 	position, left, blocked := g.options.Poison.Blocked(call.prompt)
 	if !blocked {
 		return nil
--- a/internal/poison/exchange.go
+++ b/internal/poison/exchange.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"slices"
@@ -73,43 +74,65 @@
 	now := t.options.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.crashes) == 0 && len(t.blocks) == 0 {
+	if t.empty() {
 		return nil
 	}
 	t.update(now)
-	r := &Report{}
 	size := 0
-	fits := func(parts []part) bool {
+	r := t.report(now, peer, func(_ string, parts []part) bool {
 		if size > 0 && size+len(parts) > maxReportParts {
 			return false
 		}
 		size += len(parts)
 		return true
-	}
-	for _, id := range slices.Sorted(maps.Keys(t.blocks)) {
-		b := t.blocks[id]
+	})
+	for id := range t.blocks {
 		r.Have = binary.LittleEndian.AppendUint64(r.Have, id)
-		report := BlockReport{ID: id, AgeMS: now.Sub(b.since).Milliseconds(), LastCrashAgeMS: now.Sub(b.lastCrash).Milliseconds()}
-		if !b.knownBy[peer] && fits(b.parts) {
+	}
+	for _, c := range t.crashes {
+		for id := range c.requests {
+			r.Have = binary.LittleEndian.AppendUint64(r.Have, id)
+		}
+	}
+	return r
+}
+
+// empty reports whether there is nothing to report. The caller holds t.mu.
+func (t *Tracker) empty() bool {
+	return len(t.crashes) == 0 && len(t.blocks) == 0 && len(t.cleared) == 0
+}
+
+// report returns all blocks, with the parts that the peer lacks and that fit, the requests that the peer lacks and that
+// fit, the latest first, and answers. The caller holds t.mu.
+func (t *Tracker) report(now time.Time, peer string, fits func(incarnation string, parts []part) bool) *Report {
+	r := &Report{}
+	blocks := slices.SortedFunc(maps.Values(t.blocks), func(a, b *block) int {
+		return cmp.Or(b.lastCrash.Compare(a.lastCrash), cmp.Compare(a.id, b.id))
+	})
+	for _, b := range blocks {
+		report := BlockReport{ID: b.id, AgeMS: now.Sub(b.since).Milliseconds(), LastCrashAgeMS: now.Sub(b.lastCrash).Milliseconds()}
+		if !b.knownBy[peer] && fits("", b.parts) {
 			report.Parts = packParts(b.parts)
 		}
 		r.Blocked = append(r.Blocked, report)
 	}
-	for _, incarnation := range slices.Sorted(maps.Keys(t.crashes)) {
+	incarnations := slices.SortedFunc(maps.Keys(t.crashes), func(a, b string) int {
+		return cmp.Or(t.crashes[b].at.Compare(t.crashes[a].at), cmp.Compare(a, b))
+	})
+	for _, incarnation := range incarnations {
 		c := t.crashes[incarnation]
-		for id, s := range c.requests {
-			r.Have = binary.LittleEndian.AppendUint64(r.Have, id)
-			if !s.knownBy[peer] && fits(s.parts) {
+		for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+			if s := c.requests[id]; !s.knownBy[peer] && fits(incarnation, s.parts) {
 				r.Suspects = append(r.Suspects, SuspectReport{ID: id, Incarnation: incarnation, AgeMS: now.Sub(c.at).Milliseconds(), Parts: packParts(s.parts)})
 			}
 		}
 	}
-	for id, at := range t.cleared {
+	for id, answer := range t.cleared {
 		if len(r.Answers) >= maxReportAnswers {
 			// The order of a map differs each time, so that all are sent in the end.
 			break
 		}
-		r.Answers = append(r.Answers, AnswerReport{Part: uint64(id), AgeMS: now.Sub(at).Milliseconds()})
+		r.Answers = append(r.Answers, AnswerReport{Part: uint64(id), AgeMS: now.Sub(answer.at).Milliseconds()})
 	}
 	return r
 }
@@ -127,6 +150,18 @@
 		t.noteKnown(peer, nil)
 		return
 	}
+	t.merge(peer, report, now, at, relayLimits)
+	t.noteKnown(peer, report.Have)
+	t.update(now)
+}
+
+// mergeLimits are the ages up to which evidence is adopted.
+type mergeLimits struct{ crashAge, blockAge time.Duration }
+
+var relayLimits = mergeLimits{crashAge: maxCrashRelayAge, blockAge: maxBlockRelayAge}
+
+// merge takes over a report as of a time. The caller holds t.mu.
+func (t *Tracker) merge(from string, report *Report, now, at time.Time, limits mergeLimits) {
 	for _, a := range report.Answers[:min(len(report.Answers), maxReportAnswers)] {
 		if a.AgeMS >= 0 {
 			t.recordAnswer(part(a.Part), at.Add(-milliseconds(a.AgeMS)), false)
@@ -134,22 +169,22 @@
 	}
 	t.changed = t.changed || len(report.Answers) > 0
 	for _, b := range report.Blocked[:min(len(report.Blocked), maxBlocked)] {
-		t.adopt(peer, b, now, at)
+		t.adopt(from, b, now, at, limits)
 	}
 	for _, s := range report.Suspects[:min(len(report.Suspects), maxCrashes*maxSuspects)] {
 		age, parts := milliseconds(s.AgeMS), unpackParts(s.Parts)
-		if s.AgeMS < 0 || age > maxCrashRelayAge || len(s.Incarnation) > maxIncarnationBytes || len(parts) == 0 {
+		if s.AgeMS < 0 || now.Sub(at.Add(-age)) > limits.crashAge || len(s.Incarnation) > maxIncarnationBytes || len(parts) == 0 {
 			continue
 		}
-		t.addCrash(s.Incarnation, at.Add(-age), s.ID, parts)
+		if t.addCrash(s.Incarnation, at.Add(-age), s.ID, parts) {
+			t.notifyChange(false)
+		}
 		for _, id := range parts {
 			if own := t.answered.own(id); own.After(at.Add(-age)) {
-				t.cleared[id] = own
+				t.clear(id, own, false)
 			}
 		}
 	}
-	t.noteKnown(peer, report.Have)
-	t.update(now)
 }
 
 // noteKnown notes what a peer has. A peer that has started again lacks what it had.
@@ -177,9 +212,9 @@
 }
 
 // adopt blocks what a peer has blocked.
-func (t *Tracker) adopt(peer string, report BlockReport, now, at time.Time) {
+func (t *Tracker) adopt(from string, report BlockReport, now, at time.Time, limits mergeLimits) {
 	lastCrash := at.Add(-milliseconds(report.LastCrashAgeMS))
-	if report.LastCrashAgeMS < 0 || report.AgeMS < 0 || now.Sub(lastCrash) > maxBlockRelayAge {
+	if report.LastCrashAgeMS < 0 || report.AgeMS < 0 || now.Sub(lastCrash) > limits.blockAge {
 		return
 	}
 	if known := t.blocks[report.ID]; known != nil {
@@ -188,12 +223,21 @@
 		}
 		return
 	}
-	parts := slices.DeleteFunc(unpackParts(report.Parts), func(id part) bool { return t.answered.last(id).After(lastCrash) })
+	var parts []part
+	for _, id := range unpackParts(report.Parts) {
+		if last := t.answered.last(id); last.After(lastCrash) {
+			// The peer hasn't heard of the answer that released the part.
+			t.clear(id, last, true)
+			continue
+		}
+		parts = append(parts, id)
+	}
 	if len(parts) == 0 || len(t.blocks) >= maxBlocked || t.blockParts+len(parts) > maxBlockParts || t.evidence+len(parts) > maxEvidence {
 		return
 	}
 	b := t.addBlock(report.ID, parts, at.Add(-milliseconds(report.AgeMS)), lastCrash)
-	t.logBlock(b, now).Str("peer", peer).Msg(blockMessage)
+	t.logBlock(b, now).Str("peer", from).Msg(blockMessage)
+	t.notifyChange(false)
 }
 
 const blockMessage = "prompt part that crashes engines"
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -29,6 +29,8 @@
 	// last maxEdgeParts parts.
 	maxAnswers   = 1 << 15
 	maxEdgeParts = 64
+	// maxCleared bounds the parts that were suspected or blocked and then answered.
+	maxCleared = 1 << 14
 	// maxIncarnationBytes bounds the name of an engine incarnation.
 	maxIncarnationBytes = 256
 	// promptEvaluation is the number of parts up to which the evidence is evaluated whenever it is used.
@@ -43,7 +45,12 @@
 	Now func() time.Time
 	// Engines returns the number of engines. If nil, it is unknown and taken as 0.
 	Engines func() int
-	Logger  zerolog.Logger
+	// OnChange is called when there is evidence that a record may lack: own if this process observed it. It must neither
+	// block nor call the Tracker. It may be nil.
+	OnChange func(own bool)
+	// Places is the number of places from which evidence of earlier processes is restored; Known is false until then.
+	Places int
+	Logger zerolog.Logger
 }
 
 // Tracker holds the evidence and the blocks. It is safe for concurrent use. A nil Tracker blocks
@@ -61,9 +68,9 @@
 	// evidence is the number of parts of all requests of the crashes and of all blocks, blockParts that of the blocks.
 	evidence, blockParts int
 	// answered holds when a request with a part was last answered, here or at a peer. cleared holds the answers of this
-	// process to suspects and blocked parts, which peers must learn.
+	// process to suspects, and all that released a blocked part, which peers must learn.
 	answered answerTimes
-	cleared  map[part]time.Time
+	cleared  map[part]clearance
 	counter  answerCounter
 	// blocks holds the blocks by their ids, byPart those that contain a part.
 	blocks map[uint64]*block
@@ -71,6 +78,14 @@
 	// changed is set if the evidence has changed since evaluatedAt.
 	changed     bool
 	evaluatedAt time.Time
+	// awaited is the number of places from which evidence hasn't been restored yet.
+	awaited int
+}
+
+// clearance is an answer to a part that was suspected or, if released is set, blocked.
+type clearance struct {
+	at       time.Time
+	released bool
 }
 
 // crash is the end of one engine incarnation.
@@ -102,8 +117,42 @@
 // New returns a Tracker without evidence.
 func New(options Options) *Tracker {
 	return &Tracker{
-		options: options, crashes: map[string]*crash{}, explained: map[string]time.Time{}, suspects: map[part]int{}, answered: newAnswerTimes(), cleared: map[part]time.Time{},
-		blocks: map[uint64]*block{}, byPart: map[part][]*block{},
+		options: options, crashes: map[string]*crash{}, explained: map[string]time.Time{}, suspects: map[part]int{}, answered: newAnswerTimes(), cleared: map[part]clearance{},
+		blocks: map[uint64]*block{}, byPart: map[part][]*block{}, awaited: options.Places,
+	}
+}
+
+// Known reports whether the evidence of earlier processes has been taken over, or is done without.
+func (t *Tracker) Known() bool {
+	if t == nil {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.awaited <= 0
+}
+
+// MarkLoaded notes that the evidence of one place has been restored, or is done without.
+func (t *Tracker) MarkLoaded() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.awaited--
+}
+
+// MarkKnown makes Known true.
+func (t *Tracker) MarkKnown() {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.awaited = 0
+}
+
+// notifyChange calls OnChange. The caller holds t.mu.
+func (t *Tracker) notifyChange(own bool) {
+	if t.options.OnChange != nil {
+		t.options.OnChange(own)
 	}
 }
 
@@ -141,6 +190,7 @@
 	parts := prompt.distinct()
 	t.addCrash(incarnation, now, requestID(incarnation, parts), parts)
 	t.update(now)
+	t.notifyChange(true)
 }
 
 // RecordAnswer records that an engine has survived the beginning of the answer to a request. The answer began some time
@@ -157,8 +207,8 @@
 		isEdge := i < maxEdgeParts || i >= len(prompt.parts)-maxEdgeParts
 		if suspected := t.suspects[id] > 0 || len(t.byPart[id]) > 0; suspected || isEdge {
 			t.recordAnswer(id, at, true)
-			if suspected && at.After(t.cleared[id]) {
-				t.cleared[id] = at
+			if suspected {
+				t.clear(id, at, false)
 			}
 		}
 	}
@@ -172,20 +222,35 @@
 		if at.After(b.lastCrash) {
 			// The request was sent without the other parts of the block, or before the block.
 			t.releasePart(b, id)
+			t.clear(id, at, true)
+			t.notifyChange(own)
 		}
 	}
 }
 
-// addCrash adds a request to the suspects of a crash. The caller holds t.mu.
-func (t *Tracker) addCrash(incarnation string, at time.Time, id uint64, parts []part) {
+// clear notes an answer to a part that was suspected or blocked. The caller holds t.mu.
+func (t *Tracker) clear(id part, at time.Time, released bool) {
+	known, found := t.cleared[id]
+	switch {
+	case !found && len(t.cleared) >= maxCleared:
+	case !found || at.After(known.at):
+		t.cleared[id] = clearance{at: at, released: released || known.released}
+	case released && !known.released:
+		known.released = true
+		t.cleared[id] = known
+	}
+}
+
+// addCrash adds a request to the suspects of a crash. It reports whether the request is new. The caller holds t.mu.
+func (t *Tracker) addCrash(incarnation string, at time.Time, id uint64, parts []part) (added bool) {
 	if _, explained := t.explained[incarnation]; explained {
-		return
+		return false
 	}
 	c := t.crashes[incarnation]
 	if isNew := c == nil || c.requests[id] == nil; isNew {
 		t.makeRoom(incarnation, len(parts))
 		if t.evidence+len(parts) > maxEvidence || c == nil && len(t.crashes) >= maxCrashes {
-			return
+			return false
 		}
 	}
 	if c == nil {
@@ -196,19 +261,16 @@
 	if at.Before(c.at) {
 		c.at = at
 	}
-	s := c.requests[id]
-	if s == nil {
-		if len(c.requests) >= maxSuspects {
-			return
-		}
-		s = &suspect{parts: parts, knownBy: map[string]bool{}}
-		c.requests[id] = s
-		t.evidence += len(parts)
-		for _, id := range parts {
-			t.suspects[id]++
-		}
-		t.changed = true
+	if c.requests[id] != nil || len(c.requests) >= maxSuspects {
+		return false
 	}
+	c.requests[id] = &suspect{parts: parts, knownBy: map[string]bool{}}
+	t.evidence += len(parts)
+	for _, id := range parts {
+		t.suspects[id]++
+	}
+	t.changed = true
+	return true
 }
 
 // makeRoom forgets the oldest crashes, but for one, until there is room for a request of that one. The caller holds t.mu.
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -57,6 +57,7 @@
 		}
 		b := t.addBlock(partsID(parts), parts, now, best.last)
 		t.logBlock(b, now).Int("crashes", best.engines).Int("depth", best.depth).Msg(blockMessage)
+		t.notifyChange(false)
 	}
 }
 
@@ -76,8 +77,12 @@
 			delete(t.explained, incarnation)
 		}
 	}
-	for id, at := range t.cleared {
-		if now.Sub(at) > crashTTL || len(t.crashes) == 0 && len(t.blocks) == 0 {
+	for id, answer := range t.cleared {
+		// A peer or a record may hold the block until it expires.
+		if answer.released && now.Sub(answer.at) <= blockTTL {
+			continue
+		}
+		if now.Sub(answer.at) > crashTTL || len(t.crashes) == 0 && len(t.blocks) == 0 {
 			delete(t.cleared, id)
 		}
 	}
@@ -146,6 +151,7 @@
 			}
 			narrowed = true
 			t.logBlock(t.addBlock(id, both, now, c.at), now).Str("reason", "crash under a part of block "+formatID(b.id)).Msg(blockMessage)
+			t.notifyChange(false)
 		}
 	}
 	return narrowed
--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -36,6 +36,8 @@
 	Feeds map[string]feed.State `json:"feeds,omitempty"`
 	// Poison is what the sender knows of prompt parts that crash engines.
 	Poison *poison.Report `json:"poison,omitempty"`
+	// KnowsPoison says that the sender has the evidence of earlier processes.
+	KnowsPoison bool `json:"knows_poison,omitempty"`
 	// Backpressure is what the sender knows of the requests of backend servers.
 	Backpressure []backpressure.ServerReport `json:"backpressure,omitempty"`
 	// Reports holds the report of the sender and, in a small roster, the reports of other entries
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -292,7 +292,7 @@
 		return
 	}
 	r.mergeMessage(reply, sentAt)
-	r.options.Poison.HandleReport(reply.ID, reply.Poison, sentSteady)
+	r.handlePoison(reply, sentSteady)
 	r.options.Backpressure.HandleReport(reply.Backpressure, sentSteady)
 	r.receiveFeeds(ctx, address, reply.Feeds, sentSteady)
 	current := r.options.Configuration()
@@ -305,6 +305,15 @@
 	}
 }
 
+// handlePoison takes over what another entry knows of prompts. Its first message names all that it knows but for what
+// doesn't fit.
+func (r *Roster) handlePoison(msg *message, at time.Time) {
+	r.options.Poison.HandleReport(msg.ID, msg.Poison, at)
+	if msg.KnowsPoison {
+		r.options.Poison.MarkKnown()
+	}
+}
+
 // addressOf returns the address of an entry under the lock, as other calls may update it.
 func (r *Roster) addressOf(m *member) string {
 	r.mu.Lock()
@@ -358,7 +367,7 @@
 	configuration := r.options.Configuration()
 	msg := message{
 		ID: r.options.ID, Address: r.options.Address, BootID: r.options.BootID,
-		Version: configuration.Version, VerifiedAgeMS: -1, Poison: r.options.Poison.Report(peer), Backpressure: r.options.Backpressure.Report(),
+		Version: configuration.Version, VerifiedAgeMS: -1, Poison: r.options.Poison.Report(peer), KnowsPoison: r.options.Poison.Known(), Backpressure: r.options.Backpressure.Report(),
 		Reports: []entryReport{{
 			ID: r.options.ID, Address: r.options.Address, BootID: r.options.BootID,
 			UptimeMS: now.Sub(r.startedAt).Milliseconds(), Accounts: r.options.Pool.Report(now),
@@ -443,7 +452,7 @@
 		return
 	}
 	r.mergeMessage(&msg, time.Now())
-	r.options.Poison.HandleReport(msg.ID, msg.Poison, steady.Now())
+	r.handlePoison(&msg, steady.Now())
 	r.options.Backpressure.HandleReport(msg.Backpressure, steady.Now())
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(r.newMessage(msg.ID)); err != nil {
