Roll-outs: an order of the version that runs keeps it serving

Cause: the running version was put on trial whenever servers of another one were registered; then no version was trusted, and the oldest other one was, also if it was blocked.

Change: an order puts nothing on trial if its target is trusted and no other trusted version has servers. The other versions get nothing more, and it is completed after the time of a long request. Processes that start later learn it from peers or from the record of the earlier order. A blocked version is never trusted for being the oldest.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -141,8 +141,9 @@
 	if previous != nil && previous.open() {
 		c.supersede(v, previous, p, now)
 	}
-	p.noChange = v.trusted[order.Target] && len(otherVersionServers(c.options.Registered(order.Service, now), order.Target)) == 0
-	if !p.noChange {
+	if c.runsAlready(v, order, now) {
+		c.keepRunning(v, p, now)
+	} else {
 		delete(v.trusted, order.Target)
 		delete(v.firstSeen, order.Target)
 		delete(v.blocked, order.Target)
@@ -180,8 +181,13 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.serviceVersions(record.Service).progress
-	if p == nil || !record.matches(p.order) {
+	v := c.serviceVersions(record.Service)
+	p := v.progress
+	if p == nil {
+		return
+	}
+	if !record.matches(p.order) {
+		c.applyEarlierRecord(v, p, record, now)
 		return
 	}
 	if !p.stateKnown && !record.FirstSeen.IsZero() {
--- a/internal/rollout/exchange.go
+++ b/internal/rollout/exchange.go
@@ -30,6 +30,8 @@
 	Stopped string `json:"stopped,omitempty"`
 	// Moving is set when the target is proven and requests move to it.
 	Moving bool `json:"moving,omitempty"`
+	// Unchanged is set if the service ran the target already when it was ordered.
+	Unchanged bool `json:"unchanged,omitempty"`
 	// Evidence holds what the entry itself has observed since it learned of the order, as
 	// encoded lanepb.Evidence messages. It only grows.
 	Evidence [][]byte `json:"evidence,omitempty"`
@@ -62,7 +64,7 @@
 		}
 		r := Report{
 			Service: p.order.Service, Target: p.order.Target, Order: p.order.ID, DurationMS: p.order.Duration.Milliseconds(),
-			AgeMS: now.Sub(p.started).Milliseconds(), State: p.state, Stopped: p.stopReason, Moving: p.moving,
+			AgeMS: now.Sub(p.started).Milliseconds(), State: p.state, Stopped: p.stopReason, Moving: p.moving, Unchanged: p.noChange,
 		}
 		if p.open() {
 			r.Evidence = p.reported.encoded
@@ -89,6 +91,9 @@
 		}
 		p.stateKnown = true
 		c.applyState(p, r.State, "entry "+id)
+		if r.Unchanged && p.open() && !p.countedFromStart {
+			c.keepRunning(c.services[r.Service], p, now)
+		}
 		if !p.open() {
 			continue
 		}
--- a/internal/rollout/harness_test.go
+++ b/internal/rollout/harness_test.go
@@ -78,7 +78,9 @@
 	// was no server.
 	sends        map[string]int
 	refusedCount int
-	running      map[string]int
+	// allSends counts the requests by version since the start.
+	allSends map[string]int
+	running  map[string]int
 	// lastTargetSend is when the new version got its last request.
 	lastTargetSend time.Time
 	// partitioned is set while no entry reaches another one.
@@ -107,7 +109,7 @@
 			T: t, c: qt.New(t), log: &fakeLog{}, random: rand.New(rand.NewPCG(1, 2)), ctx: ctx,
 			versions:          map[string]behaviour{oldVersion: healthy, newVersion: version},
 			requestsPerSecond: requestsPerSecond,
-			sends:             map[string]int{}, running: map[string]int{}, stopped: map[string]bool{},
+			sends:             map[string]int{}, allSends: map[string]int{}, running: map[string]int{}, stopped: map[string]bool{},
 		}
 		sim.addServers(oldVersion, 4)
 		for i := range entries {
@@ -278,6 +280,7 @@
 	if !sim.orderedAt.IsZero() && time.Since(sim.orderedAt) < orderDuration {
 		sim.sends[version]++
 	}
+	sim.allSends[version]++
 	if version == newVersion {
 		sim.lastTargetSend = time.Now()
 	}
@@ -362,6 +365,16 @@
 	return sim.sends[newVersion], sim.sends[newVersion] + sim.sends[oldVersion]
 }
 
+// versionSends returns the requests to a version and to all since the start.
+func (sim *simulation) versionSends(version string) (sends, all int) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	for _, n := range sim.allSends {
+		all += n
+	}
+	return sim.allSends[version], all
+}
+
 // assertExposureBounded checks the bound on requests to the new version during the order.
 func (sim *simulation) assertExposureBounded() {
 	sim.Helper()
--- a/internal/rollout/progress.go
+++ b/internal/rollout/progress.go
@@ -52,9 +52,13 @@
 	stateKnown bool
 	// state is the latest state known to be recorded.
 	state State
-	// noChange is set if all servers already ran the target version when the order was given, or when this process
+	// noChange is set if the service already ran the target version when the order was given, or when this process
 	// started.
 	noChange bool
+	// replacesTrial is set if noChange is, and servers of other versions were registered then. keptUntil is when their last
+	// requests have ended.
+	replacesTrial bool
+	keptUntil     time.Time
 	// aloneSince is since when only servers of the target are registered, or zero.
 	aloneSince time.Time
 	// unrevertedLogged is set once a reversal that can't be recorded has been logged.
--- a/internal/rollout/run.go
+++ b/internal/rollout/run.go
@@ -83,6 +83,9 @@
 			c.logUnreverted(p)
 			continue
 		}
+		if state == StateCompleted && !v.mayComplete(p) {
+			continue
+		}
 		if state == StateNone || !p.stateKnown || now.Before(p.nextRecord) || now.Sub(dueSince) < time.Duration(membership.Rank)*rankDelay {
 			continue
 		}
@@ -190,6 +193,8 @@
 	switch {
 	case !p.recordLostAt.IsZero():
 		return p.state, p.recordLostAt, finalRankDelay
+	case p.replacesTrial:
+		return StateCompleted, p.keptUntil, activeRankDelay
 	case p.noChange:
 		return StateCompleted, p.started, activeRankDelay
 	case p.stopReason != "":
@@ -245,6 +250,11 @@
 		return current.State, nil
 	}
 	c.mu.Lock()
+	if v := c.services[p.order.Service]; p.replacesTrial && current.State == StateCompleted && current.Target != p.order.Target {
+		c.yieldTo(v, p, current.Target)
+		c.mu.Unlock()
+		return StateNone, nil
+	}
 	record := Record{Service: p.order.Service, Target: p.order.Target, Order: p.order.ID, State: state, FirstSeen: p.started}
 	c.mu.Unlock()
 	// An earlier attempt whose reply was lost is resolved here: either its record is in the
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -91,10 +91,10 @@
 	}
 }
 
-// trustOldest trusts the version of the longest-running server that is not of a version on trial.
+// trustOldest trusts the version of the longest-running server that is not of a blocked version or one on trial.
 // Without other information, that is the version that the service runs.
 func (v *versions) trustOldest(ready []fleet.Server, target string, onTrial bool) {
-	if oldest := oldestServer(ready, func(s fleet.Server) bool { return !onTrial || s.Version != target }); oldest != nil {
+	if oldest := oldestServer(ready, func(s fleet.Server) bool { return v.blocked[s.Version] == "" && (!onTrial || s.Version != target) }); oldest != nil {
 		v.trusted[oldest.Version] = true
 	}
 }
