Gateway: the time for writing an answer runs from its beginning

Cause: the write deadline of refusals was set when the handler began, before the body was read.

Change: it is set where the answer begins, for refusals and for answers of backend servers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -146,7 +146,6 @@
 	if g.shutdown.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	limitWrite(w, refusalWriteTimeout)
 	call, failure := g.accept(w, r)
 	defer call.memory.Release()
 	defer g.logCrash(call)
@@ -168,8 +167,7 @@
 	}
 	ctx, cancel := call.context(r.Context())
 	defer cancel()
-	limitWrite(w, max(steady.Until(call.deadline), 0)+lateWriteTimeout)
-	p := &callProgress{relay: newRelay(w, g.options.Codec, func() bool { return g.shutdown.Load() != nil })}
+	p := &callProgress{relay: newRelay(w, g.options.Codec, call.deadline, func() bool { return g.shutdown.Load() != nil })}
 	failure = g.run(ctx, call, p)
 	g.refundTokens(call, p)
 	g.finish(w, r, call, p, failure)
@@ -183,8 +181,9 @@
 	lateWriteTimeout = 5 * time.Second
 )
 
-// limitWrite bounds the time for writing an answer. Errors are ignored: a connection that is closed reports it to the
-// write, and one that has no deadlines isn't a caller's.
+// limitWrite bounds the time for writing an answer, from its beginning: the request may have taken any time before. net/http
+// removes the bound after the answer. Errors are ignored: a connection that is closed reports it to the write, and one that
+// has no deadlines isn't a caller's.
 func limitWrite(w http.ResponseWriter, timeout time.Duration) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -169,6 +169,7 @@
 		route("stream", fleet.KindStreaming, false, 2*time.Second),
 		route("resumable", fleet.KindStreaming, true, 2*time.Second),
 		route("short", fleet.KindUnsafe, false, 200*time.Millisecond),
+		route("long", fleet.KindUnsafe, false, 20*time.Second),
 		{
 			Name: "brief", Host: "127.0.0.1", PathPrefix: "/brief/", Kind: fleet.KindUnsafe, Timeout: 500 * time.Millisecond,
 			Objective: 100 * time.Millisecond, MaxServers: 1, Shares: []fleet.Share{{Service: "plain", Weight: 1}},
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -87,6 +87,7 @@
 		g.logger.Error().Str("request_id", call.info.ID).Err(err).Msg("failed to encode the problem document")
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	limitWrite(w, refusalWriteTimeout)
 	w.WriteHeader(f.Status)
 	_, err = w.Write(body)
 	if err == nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,8 +5,11 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/lagoonlane/lagoonlane/internal/steady"
 )
 
 // EventOrderError reports a violation of the event order of a stream.
@@ -35,6 +38,8 @@
 type relay struct {
 	w     http.ResponseWriter
 	codec Codec
+	// deadline is that of the request.
+	deadline time.Time
 	// closing reports whether the connection must be closed after the answer.
 	closing func() bool
 	// started is set once part of an answer has been sent.
@@ -47,13 +52,14 @@
 	events, unnumbered int
 }
 
-func newRelay(w http.ResponseWriter, codec Codec, closing func() bool) *relay {
-	return &relay{w: w, codec: codec, closing: closing}
+func newRelay(w http.ResponseWriter, codec Codec, deadline time.Time, closing func() bool) *relay {
+	return &relay{w: w, codec: codec, deadline: deadline, closing: closing}
 }
 
 // prepareHeaders marks the answer as started, and sets and returns its headers.
 func (r *relay) prepareHeaders(header http.Header) http.Header {
 	r.started = true
+	limitWrite(r.w, max(steady.Until(r.deadline), 0)+lateWriteTimeout)
 	h := r.w.Header()
 	for name, values := range r.codec.EncodeAnswer(header) {
 		h[name] = values
--- a/internal/poison/keeper/keeper_test.go
+++ b/internal/poison/keeper/keeper_test.go
@@ -117,8 +117,8 @@
 	apart   bool
 	running sync.WaitGroup
 
-	crashes, deadly int
-	crashedAt       []time.Time
+	crashes   int
+	crashedAt []time.Time
 	// disturbedUntil is until when requests with deadly parts aren't counted.
 	disturbedUntil time.Time
 	late           int
