Retry budget: a process that starts again gets no slack in its first window

Cause: each process counts its repeats itself, and a new one had its whole part of the slack though the one before may just have used it. The entries that were left when others died shared the slack anew at once, too.

Change: no part of the slack in the first window of a process; the slack is divided by the largest number of live entries in the last window, and that number isn't lowered without a majority.

--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -368,6 +368,11 @@
 		Upstream: e.upstream, Slots: sidecars,
 		SidecarAddress: sidecarAddress, DeputyAddress: e.deputy.Address,
 		Rollouts: e.rollouts, Poison: e.poison, Backpressure: e.backpressure, Lateness: e.lateness, Entries: e.roster.AliveEntries, Limits: pool,
+		HasQuorum: func() bool {
+			_, hasQuorum := e.roster.Alive()
+			return hasQuorum
+		},
+		StartedAt: steady.Now(),
 		Bounds: gateway.Bounds{
 			ApplyWithin: bounds.ApplyWithin, RevokeWithin: bounds.RevokeWithin,
 			Retries: gateway.RetryBounds{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack},
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,14 +23,14 @@
 	retries, requests := 0, 0
 	var budgets []*retryBudget
 	for range entries {
-		budgets = append(budgets, newRetryBudget(bounds))
+		budgets = append(budgets, newRetryBudget(bounds, time.Time{}, liveEntries(entries)))
 	}
 	for range perEntry {
 		now = now.Add(bounds.Window / perEntry)
 		for _, b := range budgets {
 			b.countRequest("service", now)
 			requests++
-			if b.take("service", entries, now) {
+			if b.take("service", now) {
 				retries++
 			}
 		}
@@ -37,7 +38,92 @@
 	c.Assert(float64(retries) <= bounds.Ratio*float64(requests)+bounds.Slack, qt.IsTrue, qt.Commentf("%d repeats of %d requests", retries, requests))
 	c.Assert(retries > 0, qt.IsTrue)
 	later := now.Add(2 * bounds.Window)
-	c.Assert(budgets[0].take("service", entries, later), qt.IsTrue)
+	c.Assert(budgets[0].take("service", later), qt.IsTrue)
+}
+
+// liveEntries is a fixed number of live entries.
+func liveEntries(n int) func() (int, bool) { return func() (int, bool) { return n, true } }
+
+// Guards against a retry budget that is given out again in its window, to processes that start again, or to those that are
+// left: the retries of all entries together went beyond the deployment's bound.
+func TestRetriesStayWithinTheBudgetOverRestarts(t *testing.T) {
+	const step, noticed, restart = 50 * time.Millisecond, 1500 * time.Millisecond, time.Second
+	bounds := RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Slack: 56}
+	all := func(int, int) bool { return true }
+	for name, test := range map[string]struct {
+		// kills holds when entries are killed, killed tells which of them; gone ones don't start again.
+		kills  []time.Duration
+		killed func(kill, entry int) bool
+		gone   bool
+	}{
+		"all once":             {kills: []time.Duration{15 * time.Second}, killed: all},
+		"all, three times":     {kills: []time.Duration{15 * time.Second, 18 * time.Second, 21 * time.Second}, killed: all},
+		"one after the other":  {kills: []time.Duration{15 * time.Second, 17 * time.Second, 19 * time.Second, 21 * time.Second}, killed: func(kill, entry int) bool { return kill == entry }},
+		"every second one":     {kills: []time.Duration{15 * time.Second}, killed: func(_, entry int) bool { return entry%2 == 1 }},
+		"all but one are gone": {kills: []time.Duration{15 * time.Second}, killed: func(_, entry int) bool { return entry > 0 }, gone: true},
+	} {
+		for _, play := range []struct{ entries, pace int }{{1, 1}, {2, 1}, {4, 1}, {10, 1}, {2, 20}, {4, 20}, {10, 20}} {
+			entries := play.entries
+			t.Run(fmt.Sprintf("%s, %d entries, a request every %v", name, entries, time.Duration(play.pace)*step), func(t *testing.T) {
+				c := qt.New(t)
+				start := time.Unix(1_000_000, 0)
+				budgets, backAt := make([]*retryBudget, entries), make([]time.Time, entries)
+				var deaths, requests, retries []time.Time
+				now := start
+				// The death of an entry is noticed later.
+				alive := func() (int, bool) {
+					n := 0
+					for _, b := range budgets {
+						if b != nil {
+							n++
+						}
+					}
+					for _, at := range deaths {
+						if now.Sub(at) < noticed {
+							n++
+						}
+					}
+					return min(max(n, 1), entries), true
+				}
+				for ; now.Before(start.Add(50 * time.Second)); now = now.Add(step) {
+					for i := range entries {
+						for kill, at := range test.kills {
+							if now.Equal(start.Add(at)) && test.killed(kill, i) && budgets[i] != nil {
+								budgets[i], backAt[i] = nil, now.Add(restart)
+								deaths = append(deaths, now)
+							}
+						}
+						if budgets[i] == nil && !now.Before(backAt[i]) && !(test.gone && !backAt[i].IsZero()) {
+							budgets[i] = newRetryBudget(bounds, now, alive)
+						}
+						if budgets[i] == nil || int(now.Sub(start)/step)%play.pace > 0 {
+							continue
+						}
+						budgets[i].countRequest("service", now)
+						requests = append(requests, now)
+						for range 8 {
+							if budgets[i].take("service", now) {
+								retries = append(retries, now)
+							}
+						}
+					}
+				}
+				within := func(times []time.Time, from time.Time) (n float64) {
+					for _, at := range times {
+						if !at.Before(from) && at.Before(from.Add(bounds.Window)) {
+							n++
+						}
+					}
+					return n
+				}
+				for from := start; from.Before(now); from = from.Add(bounds.Window / 40) {
+					most := max(within(requests, from), within(requests, from.Add(-bounds.Window)), within(requests, from.Add(-bounds.Window/2)))
+					c.Assert(within(retries, from) <= bounds.Ratio*most+bounds.Slack, qt.IsTrue, qt.Commentf("%v retries of %v requests from %v on", within(retries, from), most, from.Sub(start)))
+				}
+				c.Assert(len(retries) > int(bounds.Slack/2), qt.IsTrue, qt.Commentf("%d retries", len(retries)))
+			})
+		}
+	}
 }
 
 // A step of the wall clock during a shutdown admitted calls that couldn't end in time, or
@@ -60,7 +146,7 @@
 		c := qt.New(t)
 		// The slack allows one retry.
 		bounds := RetryBounds{Window: time.Minute, Slack: 1.1 / retryBoundFraction}
-		g := &Gateway{retryBudget: newRetryBudget(bounds), options: Options{Entries: func() int { return 1 }}}
+		g := &Gateway{retryBudget: newRetryBudget(bounds, time.Time{}, liveEntries(1))}
 		call := &call{service: "service", deadline: steady.Now().Add(time.Hour)}
 		c.Assert(g.mayRetry(call, &callProgress{}, verdictRejected), qt.IsTrue)
 		time.Sleep(10 * bounds.Window)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,7 +35,7 @@
 	Retries      RetryBounds
 }
 
-// Options configures a Gateway. All fields except DeputyAddress, Rollouts, Poison,
+// Options configures a Gateway. All fields except DeputyAddress, Rollouts, Poison, HasQuorum, StartedAt,
 // Backpressure, Lateness, MaxBufferedBytes, Meter, Limiter and Requests are required.
 type Options struct {
 	DataCentre string
@@ -61,6 +61,11 @@
 	Lateness Lateness
 	// Entries returns the number of live entries, including this one.
 	Entries func() int
+	// HasQuorum reports whether the live entries are a majority of the known ones. If nil, they always are.
+	HasQuorum func() bool
+	// StartedAt is when this process started, on the clock that counts suspension. If zero, no earlier process has retried
+	// requests lately.
+	StartedAt time.Time
 	Limits  *limit.Pool
 	Bounds  Bounds
 	// MaxBufferedBytes limits the total size of buffered request bodies and answers. 0 means the
@@ -91,6 +96,11 @@
 	bodyReads bodyReads
 }
 
+// liveEntries returns the number of live entries, and whether they are a majority of the known ones.
+func (o Options) liveEntries() (entries int, hasQuorum bool) {
+	return o.Entries(), o.HasQuorum == nil || o.HasQuorum()
+}
+
 // New returns a Gateway.
 func New(options Options) (*Gateway, error) {
 	if options.Requests == nil {
@@ -101,7 +111,7 @@
 		logger:        options.Logger,
 		limitedLogger: options.Limiter.Logger(options.Logger, "gateway"),
 		servers:       newServerTable(options.DataCentre),
-		retryBudget:   newRetryBudget(options.Bounds.Retries),
+		retryBudget:   newRetryBudget(options.Bounds.Retries, options.StartedAt, options.liveEntries),
 		memory:        membudget.New(options.MaxBufferedBytes),
 		patience:      patience.New(),
 		work:          worktime.New(),
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -156,12 +156,12 @@
 		return p.unsentAttempts < maxUnsentAttempts
 	case verdictReplaced:
 		p.unsentAttempts++
-		return p.unsentAttempts < maxUnsentAttempts && g.retryBudget.take(call.service, g.options.Entries(), steady.Now())
+		return p.unsentAttempts < maxUnsentAttempts && g.retryBudget.take(call.service, steady.Now())
 	case verdictRejected:
 		p.rejections++
-		return p.rejections <= maxRejections && g.retryBudget.take(call.service, g.options.Entries(), steady.Now())
+		return p.rejections <= maxRejections && g.retryBudget.take(call.service, steady.Now())
 	}
-	return call.route.Repeatable() && p.ran < call.route.MaxServers && g.retryBudget.take(call.service, g.options.Entries(), steady.Now())
+	return call.route.Repeatable() && p.ran < call.route.MaxServers && g.retryBudget.take(call.service, steady.Now())
 }
 
 // finalFailure returns the final failure of a call without a complete answer, or nil after it
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -126,7 +126,7 @@
 		placed.releaseUnused()
 		return
 	}
-	if failure == nil && !w.gateway.retryBudget.take(w.call.service, w.gateway.options.Entries(), steady.Now()) {
+	if failure == nil && !w.gateway.retryBudget.take(w.call.service, steady.Now()) {
 		placed.releaseUnused()
 		failure = errRetryBudgetUsed
 	}
@@ -157,7 +157,7 @@
 // findOtherServer waits for a slot at a backend server that hasn't been tried.
 func (g *Gateway) findOtherServer(ctx context.Context, call *call, tried map[string]bool) (*placement, *Failure) {
 	now := time.Now()
-	if !g.retryBudget.available(call.service, g.options.Entries(), steady.Now()) {
+	if !g.retryBudget.available(call.service, steady.Now()) {
 		return nil, errRetryBudgetUsed
 	}
 	ready, failure := g.accepting(g.options.Directory.Ready(call.service, now))
