Retry budget: a request that reaches no server at first counts once

Cause: a send that didn't leave the process was taken back from the count of sends, by which a request was told to be the first one.

Change: a request remembers that it was counted.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -80,7 +80,8 @@
 		}),
 	}
 	p.sends++
-	if p.sends == 1 {
+	if !p.counted {
+		p.counted = true
 		g.retryBudget.countRequest(call.service, steady.Now())
 	}
 	sent := time.Now()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -35,7 +35,9 @@
 	// tried holds the ids of backend servers that must not be chosen again.
 	tried map[string]bool
 	// sends counts the requests that left this process; ran counts those that may have run.
-	sends, ran                 int
+	sends, ran int
+	// counted is set once the request counts for the retry budget, whether or not a server was reached.
+	counted                    bool
 	unsentAttempts, rejections int
 	mayHaveRun                 bool
 	// server is the id of the backend server of the last send.
