Gateway: an event isn't held back by a comment that comes with it

An event reached its caller only with the next one if a comment, or an event without id and data, had come behind it in the same packet.

Cause: whether to flush was told from any blank line among the bytes that had been received, taken for the end of another event.

Change: what was written is flushed before the reader waits for more.

TestWholeEventsAreNotHeldBackByTheNextOne failed before with four of five continuations: 1 s late, the length of the pause.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 
 	"github.com/pkg/errors"
@@ -46,8 +45,10 @@
 // eventReader splits a stream into events. A partial event at the end of the input means that
 // the stream is incomplete.
 type eventReader struct {
-	reader      *bufio.Reader
-	scanner     eventstream.Scanner
+	reader  *bufio.Reader
+	scanner eventstream.Scanner
+	// beforeWait is called when all that has been received was read.
+	beforeWait  func() error
 	reservation *membudget.Reservation
 	// data is the buffer of the current event; charged is the number of bytes of it that are
 	// charged to hold.
@@ -55,15 +56,8 @@
 	charged int
 }
 
-func newEventReader(r io.Reader, reservation *membudget.Reservation) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferBytes), reservation: reservation, charged: eventBufferBytes}
-}
-
-// hasNext reports whether another whole event has been received.
-func (e *eventReader) hasNext() bool {
-	// Peek of no more than the buffered bytes can't fail.
-	received, _ := e.reader.Peek(e.reader.Buffered())
-	return bytes.Contains(received, []byte("\n\n")) || bytes.Contains(received, []byte("\n\r\n"))
+func newEventReader(r io.Reader, reservation *membudget.Reservation, beforeWait func() error) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferBytes), beforeWait: beforeWait, reservation: reservation, charged: eventBufferBytes}
 }
 
 // next returns the next event, or io.EOF at the end of a complete stream. Blank lines, comments
@@ -73,6 +67,11 @@
 	ev := event{empty: true}
 	e.data = e.data[:0]
 	for {
+		if e.reader.Buffered() == 0 {
+			if err := e.beforeWait(); err != nil {
+				return ev, err
+			}
+		}
 		_, err := e.reader.Peek(1)
 		if errors.Is(err, io.EOF) && e.scanner.InEvent() {
 			return ev, errors.WithStack(io.ErrUnexpectedEOF)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -173,10 +173,16 @@
 }
 
 // relayEvents forwards the events of a stream as they arrive.
-func (g *Gateway) relayEvents(call *call, p *callProgress, answer *upstream.Answer, sent time.Time, stall *stallWatch) sendResult {
-	result := sendResult{verdict: verdictFailed}
+func (g *Gateway) relayEvents(call *call, p *callProgress, answer *upstream.Answer, sent time.Time, stall *stallWatch) (result sendResult) {
+	result = sendResult{verdict: verdictFailed}
 	p.relay.holdHead(answer.Status, answer.Header)
-	events := newEventReader(answer, call.memory)
+	events := newEventReader(answer, call.memory, p.relay.flush)
+	defer func() {
+		// A stream that breaks off keeps the events before.
+		if err := p.relay.flush(); err != nil && result.err == nil {
+			result.err = err
+		}
+	}()
 	limit := call.maxEvents()
 	last := time.Time{}
 	resumed := p.relay.started
@@ -216,7 +222,7 @@
 			last = now
 		}
 		if err == nil && order != eventDuplicate {
-			err = p.relay.writeEvent(event, events.hasNext())
+			err = p.relay.writeEvent(event)
 		}
 		if err != nil {
 			result.err = err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,8 +66,8 @@
 	// StartedAt is when this process started, on the clock that counts suspension. If zero, no earlier process has retried
 	// requests lately.
 	StartedAt time.Time
-	Limits  *limit.Pool
-	Bounds  Bounds
+	Limits    *limit.Pool
+	Bounds    Bounds
 	// MaxBufferedBytes limits the total size of buffered request bodies and answers. 0 means the
 	// default of membudget.
 	MaxBufferedBytes int64
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -47,6 +47,8 @@
 	status      int
 	header      http.Header
 	lastEventID string
+	// unflushed is set while events have been written and not flushed.
+	unflushed bool
 	// events counts the events sent to the caller; unnumbered counts the consecutive events
 	// without an id since the last one with an id.
 	events, unnumbered int
@@ -100,20 +102,26 @@
 	r.w.WriteHeader(r.status)
 }
 
-// writeEvent sends an event to the caller. If moreBuffered is set, another event follows at
-// once, and flushing is left to it.
-func (r *relay) writeEvent(ev event, moreBuffered bool) error {
+// writeEvent writes an event, which flush sends to the caller.
+func (r *relay) writeEvent(ev event) error {
 	r.writeHead()
 	if _, err := r.w.Write(ev.data); err != nil {
 		return callerError(err)
 	}
 	r.events++
+	r.unflushed = true
 	if ev.id != "" {
 		r.lastEventID = ev.id
 	}
-	if moreBuffered {
+	return nil
+}
+
+// flush sends the events to the caller that have been written since the last flush.
+func (r *relay) flush() error {
+	if !r.unflushed {
 		return nil
 	}
+	r.unflushed = false
 	return callerError(http.NewResponseController(r.w).Flush())
 }
 
