Kept evidence: the own interface with processes; entries save in turns

A hundred entries that saw crashes at one moment made 616 calls to the store in a second, replacing each other's records again and again. They save 10 ms apart by rank now, and wait longer after each conflict; the test allows half of what the store does.

--- a/bench/e2e/deadlyprompt_test.go
+++ b/bench/e2e/deadlyprompt_test.go
@@ -10,6 +10,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lagoonlane/lagoonlane/bench/caller"
+	"github.com/lagoonlane/lagoonlane/bench/standin/engine"
 	"github.com/lagoonlane/lagoonlane/platform/standin"
 )
 
@@ -99,3 +101,48 @@
 		})
 	}
 }
+
+// The same on the project's own interface, where sidecars keep what is known.
+func TestDeadlyPromptIsKnownAfterAllEntriesWereKilledOnTheOwnInterface(t *testing.T) {
+	s := newSite(t)
+	for _, name := range []string{"engine-1", "engine-2", "engine-3"} {
+		s.c.Assert(s.SetSwitches(t.Context(), name, engine.Switches{DeadlyPrompt: "deadly"}), qt.IsNil)
+	}
+	system, deadly := strings.Repeat("system ", 50), strings.Repeat("deadly ", 60)
+	sent := 0
+	send := func(prompt string) caller.Result {
+		sent++
+		url := s.EntryURLs()[sent%2]
+		return s.client.Chat(s.c.Context(), caller.Chat{URL: url, Model: "assistant", Prompt: prompt + fmt.Sprint("own ", sent), MaxTokens: 1, Timeout: operationTimeout})
+	}
+	isRefused := func() bool { return send(system+deadly).Outcome == caller.OutcomeNotRun }
+	killAll := func() {
+		for _, name := range []string{"entry-1", "entry-2"} {
+			s.c.Assert(s.Process(name).Kill(), qt.IsNil)
+			_, err := s.Process(name).Wait(t.Context())
+			s.c.Assert(err, qt.IsNil)
+		}
+		for _, name := range []string{"entry-1", "entry-2"} {
+			s.c.Assert(s.Process(name).Restart(t.Context()), qt.IsNil)
+		}
+		s.waitServing()
+		// A prompt is told only after others were answered.
+		for range 2 {
+			s.c.Check(send(system).Outcome, qt.Equals, caller.OutcomeWhole)
+		}
+	}
+	crashes := 0
+	for ; !isRefused(); crashes++ {
+		s.c.Assert(crashes < 4, qt.IsTrue, qt.Commentf("%d crashes", crashes))
+		// Faults of one engine within two seconds count as one crash.
+		time.Sleep(3 * time.Second)
+		killAll()
+	}
+	for range 2 {
+		killAll()
+		for range 4 {
+			s.c.Check(isRefused(), qt.IsTrue)
+		}
+		s.c.Check(send(system).Outcome, qt.Equals, caller.OutcomeWhole)
+	}
+}
--- a/bench/standin/engine/fault.go
+++ b/bench/standin/engine/fault.go
@@ -43,6 +43,9 @@
 	// SlowFactor multiplies all costs if it is above 1.
 	SlowFactor float64 `json:"slow_factor"`
 	Faults     []Fault `json:"faults"`
+	// DeadlyPrompt is a text in prompts to which the engine closes the connection without an answer, and whose calls it
+	// forgets, as if it had ended; none if empty.
+	DeadlyPrompt string `json:"deadly_prompt,omitempty"`
 }
 
 // Set replaces the switches. Delays of faults count from this call.
--- a/bench/standin/engine/http.go
+++ b/bench/standin/engine/http.go
@@ -77,6 +77,9 @@
 	if request.User != "" {
 		e.runsByUser[request.User]++
 	}
+	if deadly := e.switches.DeadlyPrompt; deadly != "" && strings.Contains(request.prompt(), deadly) {
+		panic(http.ErrAbortHandler)
+	}
 	if version == "" && len(e.versions) > 0 {
 		version = e.versions[0]
 	}
--- a/internal/poison/exchange.go
+++ b/internal/poison/exchange.go
@@ -35,12 +35,12 @@
 	// Have holds the ids of all requests and blocks that the sender has, eight bytes each.
 	Have     []byte          `json:"have,omitempty"`
 	Suspects []SuspectReport `json:"suspects,omitempty"`
-	// Answers holds the sender's own answers to parts that are or were suspected.
+	// Answers holds the sender's own answers to parts that are or were suspected, and those that released a block.
 	Answers []AnswerReport `json:"answers,omitempty"`
 	Blocked []BlockReport  `json:"blocked,omitempty"`
 }
 
-// AnswerReport is the last answer of a process to a request with a part.
+// AnswerReport is the last answer to a request with a part, as far as the sender knows.
 type AnswerReport struct {
 	Part  uint64 `json:"part"`
 	AgeMS int64  `json:"age_ms"`
--- a/internal/poison/keeper/keeper.go
+++ b/internal/poison/keeper/keeper.go
@@ -24,12 +24,14 @@
 	// minRetryDelay and maxRetryDelay bound the time before another try; it doubles with each one.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = time.Second
-	// conflictDelay is the mean time before another try if another process has replaced the record meanwhile.
-	conflictDelay = 30 * time.Millisecond
 	// peerDelay is the time per rank after which evidence of another process is saved that it may not have saved itself,
 	// and peerRanks the number of processes that do.
 	peerDelay = time.Second
 	peerRanks = 3
+	// Own evidence is saved at once by the first promptRanks processes, and ownDelay later per rank by the others, so that
+	// many that see crashes at the same moment don't replace each other's records again and again.
+	promptRanks = 8
+	ownDelay    = 10 * time.Millisecond
 	// rewindDelay is the time per rank after which evidence is saved again that the log may have lost, and
 	// maxRewindDelay the longest such time.
 	rewindDelay    = 100 * time.Millisecond
@@ -145,7 +147,9 @@
 			k.options.Tracker.MarkLoaded()
 		}
 		if isConflict {
-			pause(ctx, time.Duration(2*rand.Float64()*float64(conflictDelay)))
+			// Another process has replaced the record meanwhile. Of many that save at once, one after the other succeeds.
+			pause(ctx, time.Duration(2*rand.Float64()*float64(delay)))
+			delay = min(2*delay, maxRetryDelay)
 			continue
 		}
 		if isLost != (err != nil) {
@@ -182,26 +186,33 @@
 // await returns when the evidence is to be saved again.
 func (k *Keeper) await(ctx context.Context) {
 	pause(ctx, minInterval)
-	for {
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			return
 		case <-k.own:
+			k.awaitTurn(ctx)
 			return
 		case <-k.relayed:
+			rank := k.rank()
+			if rank >= peerRanks {
+				continue
+			}
+			timer := time.NewTimer(time.Duration(rank+1) * peerDelay)
+			defer timer.Stop()
+			select {
+			case <-ctx.Done():
+			case <-k.own:
+			case <-timer.C:
+			}
+			return
 		}
-		rank := k.rank()
-		if rank >= peerRanks {
-			continue
-		}
-		timer := time.NewTimer(time.Duration(rank+1) * peerDelay)
-		select {
-		case <-ctx.Done():
-		case <-k.own:
-		case <-timer.C:
-		}
-		timer.Stop()
-		return
+	}
+}
+
+// awaitTurn returns when this process is to save its own evidence. Copies at other processes are merged and need no turns.
+func (k *Keeper) awaitTurn(ctx context.Context) {
+	if late := k.rank() - promptRanks; late > 0 && !k.options.Live {
+		pause(ctx, time.Duration(late)*ownDelay)
 	}
 }
 
--- a/internal/poison/keeper/keeper_test.go
+++ b/internal/poison/keeper/keeper_test.go
@@ -1,12 +1,14 @@
 package keeper_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,11 +39,14 @@
 	delay   time.Duration
 	saves   int
 	largest int
+	// loaded and saved hold when it was called.
+	loaded, saved []time.Time
 }
 
 var errAway = errors.New("away")
 
 func (l *memoryLog) Load(context.Context) ([]keeper.Copy, keeper.Position, error) {
+	l.set(func(l *memoryLog) { l.loaded = append(l.loaded, time.Now()) })
 	l.wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -52,6 +57,7 @@
 }
 
 func (l *memoryLog) Save(_ context.Context, record []byte, position keeper.Position) error {
+	l.set(func(l *memoryLog) { l.saved = append(l.saved, time.Now()) })
 	l.wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -383,6 +389,39 @@
 	}
 }
 
+// Guards against entries that call the store more often than it allows when many of them see a crash at the same moment,
+// and against evidence that is lost then.
+func TestManyEntriesSaveWithinTheRatesOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Half of what the store allows all processes together, for all purposes.
+		const entries, loadsPerSecond, savesPerSecond = 100, 1000, 200
+		d := newDeployment(qt.New(t), entries)
+		defer d.close()
+		d.holders.away.Store(true)
+		time.Sleep(10 * time.Second)
+		began := time.Now()
+		for i, e := range d.entries {
+			e.tracker.RecordCrash(fmt.Sprint("engine-", i), poison.NewPrompt([]string{"5a", "dead", "own"}))
+		}
+		time.Sleep(20 * time.Second)
+		d.log.mu.Lock()
+		defer d.log.mu.Unlock()
+		most := func(calls []time.Time) (most int) {
+			for i, first := range calls {
+				if first.Before(began) {
+					continue
+				}
+				n, _ := slices.BinarySearchFunc(calls[i:], first.Add(time.Second), time.Time.Compare)
+				most = max(most, n)
+			}
+			return most
+		}
+		loads, saves := most(d.log.loaded), most(d.log.saved)
+		d.c.Check(loads <= loadsPerSecond && saves <= savesPerSecond, qt.IsTrue, qt.Commentf("%d loads, %d saves in a second", loads, saves))
+		d.c.Check(bytes.Count(d.log.record, []byte("engine-")), qt.Equals, entries)
+	})
+}
+
 // Guards against an entry that serves nothing, or a log that is called without end, while no evidence can be read.
 func TestEntryGoesOnWithoutEvidence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
