--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -130,10 +130,10 @@
 	if r.eventStream {
 		chunk = r.takeWholeEvents(chunk)
 	}
-	if len(chunk) == 0 {
-		return nil
+	var err error
+	if len(chunk) > 0 {
+		_, err = r.w.Write(chunk)
 	}
-	_, err := r.w.Write(chunk)
 	if err == nil && !more {
 		err = r.controller.Flush()
 	}
@@ -249,7 +249,7 @@
 }
 
 // abort ends an answer that can't be completed so that the caller detects it: an event stream gets
-// a final error event with the problem, unless the caller has a part of an event, and the connection is closed. It doesn't
+// a final error event with the problem, unless a part of an event has been sent, and the connection is closed. It doesn't
 // return.
 func (r *relay) abort(request *http.Request, problem *Problem) {
 	if r.eventStream && (len(r.held) > 0 || !r.scanner.InEvent()) {
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -75,9 +75,6 @@
 // InEvent reports whether an event or a line has begun and not ended, so that the stream is incomplete if it ends here.
 func (s *Scanner) InEvent() bool { return s.inEvent || s.lineBytes > 0 }
 
-// AtStart reports whether no byte has been read.
-func (s *Scanner) AtStart() bool { return s.lines == 0 && s.lineBytes == 0 }
-
 func (s *Scanner) extendLine(part []byte) {
 	s.lineBytes += len(part)
 	kept := min(len(part), max(0, len(byteOrderMark)+maxNameBytes+MaxValueBytes-len(s.line)))
--- a/internal/rollout/run.go
+++ b/internal/rollout/run.go
@@ -250,8 +250,10 @@
 		return current.State, nil
 	}
 	c.mu.Lock()
-	if v := c.services[p.order.Service]; p.replacesTrial && current.State == StateCompleted && current.Target != p.order.Target {
-		c.yieldTo(v, p, current.Target)
+	if !current.matches(p.order) {
+		c.applyEarlierRecord(c.services[p.order.Service], p, current, time.Now())
+	}
+	if next, _, _ := p.nextState(time.Now()); next != state {
 		c.mu.Unlock()
 		return StateNone, nil
 	}
--- a/internal/rollout/unchanged.go
+++ b/internal/rollout/unchanged.go
@@ -44,8 +44,13 @@
 
 // applyEarlierRecord processes the newest record of a service if it is of an earlier order than the current one, of which
 // nothing is recorded yet. A process that has started after both orders learns from it which version the service runs: the
-// target of the current order, if that was serving before the earlier order was given, which wasn't completed.
+// target of the current order, if that was serving before the earlier order was given, which wasn't completed. Another one
+// learns that the earlier order was completed before the current one reached all processes.
 func (c *Controller) applyEarlierRecord(v *versions, p *orderProgress, record Record, now time.Time) {
+	if p.replacesTrial && record.State == StateCompleted && record.Target != p.order.Target && !p.state.Final() {
+		c.yieldTo(v, p, record.Target)
+		return
+	}
 	if p.countedFromStart || p.noChange || p.state != StateNone || record.Target == p.order.Target || record.Order == 0 || record.Order >= p.order.ID {
 		return
 	}
