Deadly prompt parts are known to entries that don't reach each other

Cause: an entry read the kept record only at its start and when it had evidence of its own.

Change: an entry that hears no majority of the known entries, or no other at all, reads it once a second.

TestDeadlyPartIsKnownToEntriesThatDoNotReachEachOther failed before.

--- a/cmd/lagoonlane/platformroles.go
+++ b/cmd/lagoonlane/platformroles.go
@@ -330,7 +330,7 @@
 func (e *entryNode) newKeepers(holder *fleet.Holder, client *http.Client) (promptKeepers, error) {
 	options := keeper.Options{
 		Name: "store", Tracker: e.poison, Log: &platform.PromptLog{Store: e.store},
-		Rank: func() int { return e.roster.Membership().Rank },
+		Rank: func() int { return e.roster.Membership().Rank }, Isolated: func() bool { return e.roster.IsIsolated() },
 		CanServe: func() bool {
 			manifest, _ := holder.Current()
 			return manifest != nil && e.directory.Loaded()
--- a/internal/poison/keeper/keeper.go
+++ b/internal/poison/keeper/keeper.go
@@ -32,6 +32,8 @@
 	// many that see crashes at the same moment don't replace each other's records again and again.
 	promptRanks = 8
 	ownDelay    = 10 * time.Millisecond
+	// isolatedInterval is the time between two exchanges of a process that hears nothing of others.
+	isolatedInterval = time.Second
 	// rewindDelay is the time per rank after which evidence is saved again that the log may have lost, and
 	// maxRewindDelay the longest such time.
 	rewindDelay    = 100 * time.Millisecond
@@ -79,6 +81,8 @@
 	Ready func() bool
 	// Rank returns the number of live processes before this one. If nil, it is 0.
 	Rank func() int
+	// Isolated reports whether evidence of other processes may reach this one through the log only. If nil, it never does.
+	Isolated func() bool
 	// CanServe reports whether the process could serve requests but for the evidence. If nil, it never can.
 	CanServe func() bool
 	// Patience is how long a process that could serve waits for the log after a first try.
@@ -183,12 +187,18 @@
 	k.options.Logger.Info().Str("dependency", k.options.Name).Str("for", "evidence about prompts").Msg("dependency regained")
 }
 
-// await returns when the evidence is to be saved again.
+// await returns when the evidence is to be saved again, or loaded by an isolated process.
 func (k *Keeper) await(ctx context.Context) {
 	pause(ctx, minInterval)
+	ticker := time.NewTicker(isolatedInterval)
+	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
+		case <-ticker.C:
+			if k.options.Isolated != nil && k.options.Isolated() {
+				return
+			}
 		case <-k.own:
 			k.awaitTurn(ctx)
 			return
--- a/internal/poison/keeper/keeper_test.go
+++ b/internal/poison/keeper/keeper_test.go
@@ -120,7 +120,7 @@
 	holders *holderClient
 	// entries holds nil for a machine whose process isn't running; apart is set while entries don't reach each other.
 	entries []*entry
-	apart   bool
+	apart   atomic.Bool
 	running sync.WaitGroup
 
 	crashes   int
@@ -163,7 +163,7 @@
 	peers := &keeper.Peers{Client: &http.Client{Transport: d.holders}, Addresses: addresses, URL: func(address string) string { return "http://" + address }}
 	for name, log := range map[string]keeper.Log{"store": d.log, "sidecars": peers} {
 		k, err := keeper.New(keeper.Options{
-			Name: name, Tracker: e.tracker, Log: log, Live: name == "sidecars", Rank: func() int { return i }, CanServe: func() bool { return true }, Patience: keeper.DefaultPatience, Logger: zerolog.Nop(),
+			Name: name, Tracker: e.tracker, Log: log, Live: name == "sidecars", Rank: func() int { return i }, Isolated: d.apart.Load, CanServe: func() bool { return true }, Patience: keeper.DefaultPatience, Logger: zerolog.Nop(),
 		})
 		d.c.Assert(err, qt.IsNil)
 		keepers = append(keepers, k)
@@ -210,7 +210,7 @@
 			e.tracker.RecordAnswer(sound, 0)
 		}
 		a, b := d.entries[rand.IntN(len(d.entries))], d.entries[rand.IntN(len(d.entries))]
-		if a == nil || b == nil || a == b || d.apart {
+		if a == nil || b == nil || a == b || d.apart.Load() {
 			continue
 		}
 		b.tracker.HandleReport(fmt.Sprintf("%p", a), a.tracker.Report(fmt.Sprintf("%p", b)), time.Now())
@@ -259,7 +259,7 @@
 		"all entries killed":             func(d *deployment, _ int) { d.killAll() },
 		"all entries killed twice":       func(d *deployment, _ int) { d.killAll(); d.killAll() },
 		"entries one by one":             func(d *deployment, _ int) { d.kill(0); d.kill(1); d.kill(2) },
-		"all entries killed while apart": func(d *deployment, _ int) { d.apart = true; d.run(time.Second); d.killAll() },
+		"all entries killed while apart": func(d *deployment, _ int) { d.apart.Store(true); d.run(time.Second); d.killAll() },
 		"a machine that joins, the old ones": func(d *deployment, _ int) {
 			d.entries = append(d.entries, nil)
 			d.start(len(d.entries) - 1)
@@ -315,6 +315,23 @@
 	}
 }
 
+// Guards against entries that don't reach each other, each of which lets a part crash an engine that the others know.
+func TestDeadlyPartIsKnownToEntriesThatDoNotReachEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(qt.New(t), 10)
+		defer d.close()
+		d.apart.Store(true)
+		d.run(5 * time.Second)
+		for range 30 {
+			d.send("dead")
+			d.run(2 * time.Second)
+		}
+		d.c.Check(d.crashes <= 5, qt.IsTrue, qt.Commentf("%d crashes", d.crashes))
+		d.c.Check(d.late <= 3, qt.IsTrue, qt.Commentf("%d requests too late", d.late))
+		d.c.Check(d.soundRefused, qt.Equals, 0)
+	})
+}
+
 // Guards against evidence of many parts that doesn't fit, or that is begun anew after a kill.
 func TestManyDeadlyPartsAreKnownAfterAKill(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -362,12 +379,12 @@
 				case "after its time":
 					d.run(5*time.Minute + time.Second)
 				case "an entry apart":
-					d.apart = true
+					d.apart.Store(true)
 					d.entries[0].tracker.RecordAnswer(prompt, 0)
 					d.run(time.Second)
 					d.kill(0)
 					d.run(time.Second)
-					d.apart = false
+					d.apart.Store(false)
 					d.run(10 * time.Second)
 				case "the store away at the release":
 					d.log.set(func(l *memoryLog) { l.away = true })
--- a/internal/roster/membership.go
+++ b/internal/roster/membership.go
@@ -30,6 +30,15 @@
 	return membership
 }
 
+// IsIsolated reports whether this entry hears of no majority of the known entries, or of no other one at all although others
+// are registered.
+func (r *Roster) IsIsolated() bool {
+	alive, hasQuorum := r.Alive()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !hasQuorum || alive == 1 && len(r.members) > 0
+}
+
 // Entry is a process of the roster.
 type Entry struct {
 	ID string
