Entry: the closing error event follows a blank line also where nothing came before

A stream that broke off before its first event, or after a comment, began with 'event: error'; callers that look for it after a blank line missed it.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -90,6 +91,22 @@
 	})
 }
 
+// Guards against callers that look for the closing error event after a blank line, and miss it where nothing came before.
+func TestErrorEventFollowsABlankLineWhereItIsTheFirst(t *testing.T) {
+	for _, sent := range []string{"", ": opening\n", "data: 1\n\n", "data: half"} {
+		t.Run(fmt.Sprintf("%q", sent), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				frames := answerFrames(200, "text/event-stream", sent)
+				frames[2] = faultFrame(lanepb.Outcome_OUTCOME_FAILED, 0)
+				cell := newTestCell(t, nil, newFakeLane("e1", frames...))
+				_, body, err := cell.do(t, cell.request(t, "POST", chatPath, streamBody))
+				qt.Assert(t, err, qt.ErrorIs, io.ErrUnexpectedEOF)
+				qt.Assert(t, body, qt.Contains, "\n\nevent: error\ndata: {")
+			})
+		})
+	}
+}
+
 func TestCutEventStreamNeverLooksWhole(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		frames := answerFrames(200, "text/event-stream", "data: 1\n\n")
--- a/internal/entry/history_test.go
+++ b/internal/entry/history_test.go
@@ -22,8 +22,10 @@
 	id        string
 	operation string
 	// status is 0 if the caller's connection broke.
-	status    int
-	outcome   Outcome
+	status  int
+	outcome Outcome
+	// received describes the part of an answer that came before the connection broke.
+	received  string
 	violation string
 	duration  time.Duration
 }
@@ -87,7 +89,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if record.status == 0 && !h.killed[entry] {
-		record.violation = fmt.Sprintf("no final answer from a running entry: %v", err)
+		record.violation = fmt.Sprintf("no final answer from a running entry: %v%s", err, record.received)
 	}
 	return record
 }
@@ -100,6 +102,7 @@
 		record.status = http.StatusBadGateway
 		body = []byte(event)
 	} else if err != nil {
+		record.received = fmt.Sprintf("%d %.200q, %v", response.StatusCode, body, err)
 		return
 	} else {
 		record.status = response.StatusCode
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -253,7 +253,7 @@
 // return.
 func (r *relay) abort(request *http.Request, problem *Problem) {
 	if r.eventStream && (len(r.held) > 0 || !r.scanner.InEvent()) {
-		event := append([]byte("event: error\ndata: "), problem.JSON()...)
+		event := append([]byte("\n\nevent: error\ndata: "), problem.JSON()...)
 		_, _ = r.w.Write(append(event, "\n\n"...))
 		_ = r.controller.Flush()
 	}
