--- a/internal/poison/keeper/keeper.go
+++ b/internal/poison/keeper/keeper.go
@@ -28,9 +28,9 @@
 	// and peerRanks the number of processes that do.
 	peerDelay = time.Second
 	peerRanks = 3
-	// Own evidence is saved at once by the first promptRanks processes, and ownDelay later per rank by the others, so that
+	// Own evidence is saved at once by the first immediateRanks processes, and ownDelay later per rank by the others, so that
 	// many that see crashes at the same moment don't replace each other's records again and again.
-	promptRanks = 8
+	immediateRanks = 8
 	ownDelay    = 10 * time.Millisecond
 	// isolatedInterval is the time between two exchanges of a process that hears nothing of others.
 	isolatedInterval = time.Second
@@ -221,7 +221,7 @@
 
 // awaitTurn returns when this process is to save its own evidence. Copies at other processes are merged and need no turns.
 func (k *Keeper) awaitTurn(ctx context.Context) {
-	if late := k.rank() - promptRanks; late > 0 && !k.options.Live {
+	if late := k.rank() - immediateRanks; late > 0 && !k.options.Live {
 		pause(ctx, time.Duration(late)*ownDelay)
 	}
 }
