--- a/internal/poison/keeper/keeper.go
+++ b/internal/poison/keeper/keeper.go
@@ -31,7 +31,7 @@
 	// Own evidence is saved at once by the first immediateRanks processes, and ownDelay later per rank by the others, so that
 	// many that see crashes at the same moment don't replace each other's records again and again.
 	immediateRanks = 8
-	ownDelay    = 10 * time.Millisecond
+	ownDelay       = 10 * time.Millisecond
 	// isolatedInterval is the time between two exchanges of a process that hears nothing of others.
 	isolatedInterval = time.Second
 	// rewindDelay is the time per rank after which evidence is saved again that the log may have lost, and
