--- a/Makefile
+++ b/Makefile
@@ -59,3 +59,4 @@
 	go test -run XXX -fuzz FuzzDecodeRequest -fuzztime 30s ./platform
 	go test -run XXX -fuzz FuzzDecodeAnswer -fuzztime 30s ./platform
 	go test -run XXX -fuzz FuzzRequest -fuzztime 30s ./internal/slots
+	go test -run XXX -fuzz FuzzParts -fuzztime 30s ./internal/eventstream
