--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -69,9 +69,9 @@
 // Unwrap returns the cause.
 func (e *RecordError) Unwrap() error { return e.Cause }
 
-// Restore takes over a record, which may be empty, as of a time of day. Without a time of day, the
-// record has just been made. It reports whether the
-// record must be replaced: it lacks evidence, or holds a block that has been released. It returns *RecordError.
+// Restore takes over a record, which may be empty, as of a time of day. Without a time of day, the record has just been
+// made. It reports whether the record must be replaced: it lacks evidence, or holds a block that has been released. It
+// returns *RecordError.
 func (t *Tracker) Restore(data []byte, timeOfDay time.Time) (stale bool, err error) {
 	now := t.options.Now()
 	stored := record{}
